--- a/internal/sim/deployment.go
+++ b/internal/boot/deployment.go
@@ -1,20 +1,19 @@
-package sim
+package boot
 
 import (
 	"fmt"
+	"math"
 	"time"
 
-	"harrierhoist/internal/wire"
 	"harrierhoist/policy"
 )
 
-// deployment reads what a gateway is handed at its start from the settings of a spawn.
-func deployment(text string) (policy.Deployment, error) {
-	p, err := wire.ParsePairs(text)
-	if err != nil {
-		return policy.Deployment{}, err
-	}
-	ms := func(path string) time.Duration { return span(p.Number(path)) }
+// Span turns milliseconds into a time, to the microsecond, which is as fine as the settings are.
+func Span(ms float64) time.Duration { return time.Duration(math.Round(ms*1000)) * time.Microsecond }
+
+// Deployment reads what the module is handed at its start.
+func Deployment(p *Pairs) (policy.Deployment, error) {
+	ms := func(path string) time.Duration { return Span(p.Number(path)) }
 	p.Need("Balancers", "Me", "MyZone", "RequestClasses.count", "TiersOfService.count",
 		"Rules.DrainGraceMs", "Rules.ColdFrom", "Rules.WarmAfterMs", "Rules.FallMultiple", "Rules.TipAfterMs",
 		"PolicyLimits.TryLimit")
--- /dev/null
+++ b/internal/boot/handed.go
@@ -0,0 +1,111 @@
+package boot
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"harrierhoist/policy"
+)
+
+// Handed is what a gateway on sockets is told at its start.
+type Handed struct {
+	Name, Listen, Discovery, Counter string
+
+	Seed     int64
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+
+	Deployment    policy.Deployment
+	Halls, Kinds  []string      // their names; the module knows them by their places
+	ConnectWithin time.Duration // a connection not up by then is none
+	IdleLimit     time.Duration // servers close what stands idle so long
+	OnOne         int           // tasks at once on one connection
+
+	Known json.RawMessage // the servers as last had, in discovery's form
+}
+
+// Read reads the configuration file.
+func Read(path string) (*Handed, error) {
+	if path == "" {
+		return nil, errors.New("no configuration file is named")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return parse(text)
+}
+
+func parse(text []byte) (*Handed, error) {
+	var file struct {
+		Name, Listen, Discovery, Counter, Seed string
+
+		Limits struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings map[string]any
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	for name, value := range map[string]string{"listen": file.Listen, "discovery": file.Discovery} {
+		if value == "" {
+			return nil, fmt.Errorf("configuration: %s is missing", name)
+		}
+	}
+	seed, err := strconv.ParseUint(file.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: seed is not 16 hex digits: %q", file.Seed)
+	}
+	p := &Pairs{values: map[string]string{}}
+	p.nest("", file.Settings)
+	p.Need("PolicyLimits.ConnectTimeoutMs", "PolicyLimits.IdleCloseMs")
+	h := &Handed{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter,
+		Seed: int64(seed), Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB,
+		Sockets: file.Limits.Sockets, Halls: p.List("Dcs"), Kinds: p.List("Models"),
+		ConnectWithin: Span(p.Number("PolicyLimits.ConnectTimeoutMs")),
+		IdleLimit:     Span(p.Number("PolicyLimits.IdleCloseMs")),
+		OnOne:         max(p.Int("PolicyLimits.StreamsPerConn"), 1), Known: file.Known}
+	h.Deployment, err = Deployment(p)
+	if err == nil && h.Deployment.HasCounter && h.Counter == "" {
+		err = errors.New("configuration: counter is missing")
+	}
+	return h, err
+}
+
+// nest lays nested JSON out as the lines do: plain values by path, plain lists joined by commas, lists of
+// objects by count and place.
+func (p *Pairs) nest(path string, value any) {
+	under := func(key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+	switch v := value.(type) {
+	case map[string]any:
+		for key, inner := range v {
+			p.nest(under(key), inner)
+		}
+	case []any:
+		var plain []string
+		for i, inner := range v {
+			if _, object := inner.(map[string]any); object {
+				p.nest(under(strconv.Itoa(i)), inner)
+			} else {
+				plain = append(plain, fmt.Sprint(inner))
+			}
+		}
+		p.values[under("count")] = strconv.Itoa(len(v))
+		p.values[path] = strings.Join(plain, ",")
+	case float64:
+		p.values[path] = strconv.FormatFloat(v, 'g', -1, 64)
+	case nil:
+	default:
+		p.values[path] = fmt.Sprint(v)
+	}
+}
--- a/internal/wire/boot.go
+++ b/internal/boot/pairs.go
@@ -1,4 +1,6 @@
-package wire
+// Package boot reads what a gateway is told at its start: the settings, which the simulator hands over as
+// lines and a configuration file as nested JSON, and what goes with them on sockets.
+package boot
 
 import (
 	"fmt"
@@ -6,13 +8,13 @@
 	"strings"
 )
 
-// Pairs are the settings of a spawn: path=value, one a line. Unknown paths are simply never asked for.
+// Pairs are settings: a value at each path. Unknown paths are simply never asked for.
 type Pairs struct {
 	values map[string]string
 	err    error
 }
 
-// ParsePairs reads the text of a BootInfo.
+// ParsePairs reads settings written as lines.
 func ParsePairs(text string) (*Pairs, error) {
 	p := &Pairs{values: map[string]string{}}
 	for i, line := range strings.Split(text, "\n") {
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,311 @@
+// Package fleet keeps connections to servers: it pushes tasks to them, gives pushes up and probes. Where to is
+// said by others. One push goes on a connection at a time, so that none waits behind a longer one.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"harrierhoist/internal/gate"
+	"harrierhoist/internal/resp"
+	"harrierhoist/policy"
+)
+
+// idlePart is the part of the servers' idle limit after which we drop a connection. The limit is theirs and
+// may be kept early; half leaves room for that and for a slow machine.
+const idlePart = 2
+
+// Fleet owns the connections to servers.
+type Fleet struct {
+	connectWithin, idleMost time.Duration
+	reports                 []string // the figures of a load report
+
+	most int
+	mu   sync.Mutex
+	open int                // connections that are up, or coming up
+	kept map[string][]*kept // idle ones by address, the latest used last
+}
+
+// kept is a connection and when it was last used.
+type kept struct {
+	*resp.Conn
+	used time.Time
+}
+
+// New makes a fleet that holds at most so many connections.
+func New(connectWithin, idleLimit time.Duration, reports []string, most int) *Fleet {
+	return &Fleet{connectWithin: connectWithin, idleMost: idleLimit / idlePart, reports: reports, most: most,
+		kept: map[string][]*kept{}}
+}
+
+// Errand is what a push carries: the command as the client worded it, but for the time that we will wait.
+type Errand struct {
+	Verb, Customer, ID string
+	Before, After      string // the list of names and values, up to the patience's figure and from behind it
+	Body               *resp.Bulk
+}
+
+func (e *Errand) command(until time.Time) *resp.Command {
+	left := max(time.Until(until).Milliseconds(), 1)
+	list := e.Before + strconv.FormatInt(left, 10) + e.After
+	return &resp.Command{Words: []string{e.Verb, e.Customer, e.ID, list}, Body: e.Body}
+}
+
+// Push sends a task to a server and waits for how that ends; a value comes only with Answered and is the
+// caller's to free. The context gives the push up, which closes its connection.
+func (f *Fleet) Push(ctx context.Context, to gate.Server, e *Errand, until time.Time) (gate.Result, *resp.Bulk) {
+	began := time.Now()
+	c, err := f.take(ctx, to.Dial, until)
+	if err != nil {
+		return gate.Result{Outcome: unsent(ctx)}, nil
+	}
+	stop := context.AfterFunc(ctx, c.Abort)
+	_ = c.SetDeadline(until)
+	if err := c.WriteCommand(e.command(until)); err != nil {
+		stop()
+		f.drop(c)
+		return gate.Result{Outcome: unsent(ctx)}, nil // the command's last byte was not written
+	}
+	err = c.Await()
+	var reply *resp.Reply
+	if err == nil {
+		reply, err = c.ReadReply()
+	}
+	if stopped := stop(); err != nil {
+		f.drop(c)
+		how := policy.Reset
+		switch {
+		case !stopped:
+			how = policy.Cancelled
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			how = policy.TimedOut
+			f.forget(to.Dial, began)
+		}
+		return gate.Result{Outcome: how}, nil
+	} else if stopped {
+		f.keep(to.Dial, c)
+	} else {
+		f.drop(c)
+	}
+	return f.result(reply)
+}
+
+// unsent is the outcome of a push that never reached a server whole.
+func unsent(ctx context.Context) policy.Outcome {
+	if ctx.Err() != nil {
+		return policy.Moot
+	}
+	return policy.NoConnect
+}
+
+// result reads a reply. Notes and the words of an error line tell use and load, wherever they stand.
+func (f *Fleet) result(r *resp.Reply) (gate.Result, *resp.Bulk) {
+	out := gate.Result{Outcome: policy.Errored}
+	notes := r.Notes
+	switch {
+	case r.Value != nil:
+		out.Outcome = policy.Answered
+	case r.Kind == '-':
+		notes = strings.Fields(r.Line)
+		if len(notes) > 0 && notes[0] == "BUSY" {
+			out.Outcome = policy.Full
+		}
+	}
+	for _, note := range notes {
+		f.read(&out, note)
+	}
+	return out, r.Value
+}
+
+// read takes the figures from a note such as used=37,cost=4.
+func (f *Fleet) read(out *gate.Result, note string) {
+	report := make([]float32, 0, len(f.reports))
+	figures := map[string]float64{}
+	for pair := range strings.SplitSeq(note, ",") {
+		name, text, _ := strings.Cut(pair, "=")
+		if v, err := strconv.ParseFloat(text, 64); err == nil {
+			figures[name] = v
+		}
+	}
+	if cost, told := figures["cost"]; told {
+		out.Billed = cost
+	}
+	for _, name := range f.reports {
+		if v, told := figures[name]; told {
+			report = append(report, float32(v))
+		}
+	}
+	if len(report) > 0 {
+		out.Report = report
+	}
+}
+
+// Probe asks a server for its load, or only whether it is there where servers tell no load.
+func (f *Fleet) Probe(to gate.Server, told func(gate.Result)) {
+	until := time.Now().Add(f.connectWithin)
+	c, err := f.take(context.Background(), to.Dial, until)
+	if err != nil {
+		told(gate.Result{Outcome: policy.NoConnect})
+		return
+	}
+	words := []string{"PING"}
+	if len(f.reports) > 0 {
+		words = []string{"INFO", "load"}
+	}
+	_ = c.SetDeadline(until)
+	err = c.WriteCommand(&resp.Command{Words: words})
+	if err == nil {
+		err = c.Await()
+	}
+	var reply *resp.Reply
+	if err == nil {
+		reply, err = c.ReadReply()
+	}
+	if err != nil {
+		f.drop(c)
+		told(gate.Result{Outcome: policy.TimedOut})
+		return
+	}
+	f.keep(to.Dial, c)
+	out := gate.Result{Outcome: policy.Errored}
+	if reply.Kind != '-' {
+		out.Outcome = policy.Answered
+	}
+	if reply.Value != nil {
+		f.read(&out, reply.Value.String())
+		reply.Value.Free()
+	}
+	told(out)
+}
+
+// take gives an idle connection that stands, or a new one.
+func (f *Fleet) take(ctx context.Context, dial string, until time.Time) (*kept, error) {
+	for {
+		c := f.idle(dial)
+		if c == nil {
+			break
+		}
+		if time.Since(c.used) < f.idleMost && c.Quiet() {
+			return c, nil
+		}
+		f.drop(c)
+	}
+	if !f.reserve() {
+		return nil, errors.New("no connection to spare")
+	}
+	dialer := net.Dialer{Timeout: f.connectWithin, Deadline: until}
+	conn, err := dialer.DialContext(ctx, "tcp", dial)
+	if err != nil {
+		f.release()
+		return nil, err
+	}
+	return &kept{Conn: resp.NewConn(conn)}, nil
+}
+
+// idle takes the idle connection used last.
+func (f *Fleet) idle(dial string) *kept {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.kept[dial]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	f.kept[dial] = list[:len(list)-1]
+	return c
+}
+
+// reserve makes room for one connection more, if need be by dropping one that stood idle longest.
+func (f *Fleet) reserve() bool {
+	f.mu.Lock()
+	if f.open < f.most {
+		f.open++
+		f.mu.Unlock()
+		return true
+	}
+	var at string
+	for dial, list := range f.kept {
+		if len(list) > 0 && (at == "" || list[0].used.Before(f.kept[at][0].used)) {
+			at = dial
+		}
+	}
+	if at == "" {
+		f.mu.Unlock()
+		return false
+	}
+	c := f.kept[at][0]
+	f.kept[at] = f.kept[at][1:]
+	f.mu.Unlock()
+	_ = c.Close() // the new one takes its place
+	return true
+}
+
+func (f *Fleet) release() {
+	f.mu.Lock()
+	f.open--
+	f.mu.Unlock()
+}
+
+// drop closes a connection that is not idle.
+func (f *Fleet) drop(c *kept) {
+	_ = c.Close()
+	f.release()
+}
+
+// keep makes a connection idle.
+func (f *Fleet) keep(dial string, c *kept) {
+	c.used = time.Now()
+	f.mu.Lock()
+	f.kept[dial] = append(f.kept[dial], c)
+	f.mu.Unlock()
+}
+
+// forget drops a server's idle connections that were last used before a time: a push that began then got no
+// answer, so the machine may be gone without a word, and what stays open to it is silent.
+func (f *Fleet) forget(dial string, before time.Time) { f.sweep(dial, before) }
+
+// Sweep drops connections in time that nobody uses, until the context ends.
+func (f *Fleet) Sweep(ctx context.Context) {
+	every := time.NewTicker(max(f.idleMost/4, time.Second))
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+		f.mu.Lock()
+		var all []string
+		for dial := range f.kept {
+			all = append(all, dial)
+		}
+		f.mu.Unlock()
+		for _, dial := range all {
+			f.sweep(dial, time.Now().Add(-f.idleMost))
+		}
+	}
+}
+
+func (f *Fleet) sweep(dial string, before time.Time) {
+	f.mu.Lock()
+	list := f.kept[dial]
+	n := 0
+	for n < len(list) && list[n].used.Before(before) {
+		n++
+	}
+	old := list[:n]
+	if f.kept[dial] = list[n:]; n == len(list) {
+		delete(f.kept, dial)
+	}
+	f.open -= n
+	f.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,359 @@
+// Package front serves clients: it accepts, reads tasks, has each carried, and answers in the order of the
+// tasks on a connection.
+package front
+
+import (
+	"errors"
+	"math"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/fleet"
+	"harrierhoist/internal/gate"
+	"harrierhoist/internal/resp"
+	"harrierhoist/policy"
+)
+
+const (
+	keepTaking = 400 * time.Millisecond // after SIGTERM clients still come so long, as the protocol says
+	wordsMost  = 4                      // of a command, besides a value
+)
+
+// Front owns the connections of clients.
+type Front struct {
+	gate  *gate.Gate
+	fleet *fleet.Fleet
+	log   *zap.Logger
+	lanes map[string]lane
+	plans map[string]int
+	onOne int
+	ready atomic.Bool
+
+	places  chan struct{} // one a connection, and one for the next
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	closing bool
+	gone    sync.WaitGroup
+}
+
+type lane struct {
+	number int
+	pure   bool
+}
+
+// New makes a front that holds at most so many connections, with at most so many tasks at once on each.
+func New(site *policy.Deployment, g *gate.Gate, f *fleet.Fleet, onOne, most int, log *zap.Logger) *Front {
+	fr := &Front{gate: g, fleet: f, log: log, lanes: map[string]lane{}, plans: map[string]int{}, onOne: onOne,
+		places: make(chan struct{}, max(most, 1)), clients: map[*client]struct{}{}}
+	for i, l := range site.Lanes {
+		fr.lanes[l.Name] = lane{i, l.Effect == policy.Pure}
+	}
+	for i, p := range site.Plans {
+		fr.plans[p.Name] = i
+	}
+	return fr
+}
+
+// Ready lets PING be answered well from here on.
+func (f *Front) Ready() { f.ready.Store(true) }
+
+// Serve accepts clients until the listener is closed.
+func (f *Front) Serve(l net.Listener) error {
+	for {
+		f.place()
+		conn, err := l.Accept()
+		if err != nil {
+			<-f.places
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			f.log.Warn("a client could not be accepted", zap.Error(err))
+			time.Sleep(time.Millisecond) // lack of descriptors passes, and must not spin
+			continue
+		}
+		c := &client{front: f, conn: resp.NewConn(conn), turns: make(chan struct{}, f.onOne),
+			out: map[*gate.Errand]struct{}{}, used: time.Now()}
+		f.mu.Lock()
+		f.clients[c] = struct{}{}
+		f.mu.Unlock()
+		f.gone.Add(1)
+		go c.read()
+	}
+}
+
+// place takes a place for the next connection; where none is free, the client idle longest loses its own.
+func (f *Front) place() {
+	select {
+	case f.places <- struct{}{}:
+		return
+	default:
+	}
+	f.mu.Lock()
+	var oldest *client
+	for c := range f.clients {
+		if c.idle() && (oldest == nil || c.used.Before(oldest.used)) {
+			oldest = c
+		}
+	}
+	f.mu.Unlock()
+	if oldest != nil {
+		oldest.leave()
+	}
+	f.places <- struct{}{}
+}
+
+// Drain keeps taking for a while, then takes no new connections, closes those that are idle, and waits until
+// everything held is answered.
+func (f *Front) Drain(l net.Listener) {
+	time.Sleep(keepTaking)
+	_ = l.Close()
+	f.mu.Lock()
+	f.closing = true
+	var all []*client
+	for c := range f.clients {
+		all = append(all, c)
+	}
+	f.mu.Unlock()
+	for _, c := range all {
+		c.leave()
+	}
+	f.gone.Wait()
+}
+
+func (f *Front) isClosing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closing
+}
+
+// client is one connection.
+type client struct {
+	front *Front
+	conn  *resp.Conn
+	turns chan struct{}      // one a task in hand: bounds them
+	order textproto.Pipeline // answers go in the order of their tasks
+	write sync.Mutex         // held while an answer is written, and while the connection is closed
+
+	mu   sync.Mutex
+	out  map[*gate.Errand]struct{}
+	busy int // commands in hand
+	used time.Time
+	over bool // the connection has ended
+}
+
+// read reads commands until the client goes, which it sees also while tasks are out. It owns the connection.
+func (c *client) read() {
+	defer c.end()
+	for {
+		if c.conn.Await() != nil {
+			return
+		}
+		c.turns <- struct{}{}
+		cmd, err := c.conn.ReadCommand(wordsMost)
+		var bad resp.BadMessage
+		if err != nil && !errors.As(err, &bad) {
+			return
+		}
+		c.mu.Lock()
+		c.busy++
+		c.mu.Unlock()
+		turn := c.order.Next()
+		if err != nil {
+			c.answer(turn, func() error { return c.conn.WriteLine("-ERR " + bad.Error()) })
+			return
+		}
+		if t, e, line := c.parse(cmd); line != "" {
+			cmd.Body.Free()
+			go c.answer(turn, func() error { return c.conn.WriteLine(line) })
+		} else {
+			go c.carry(turn, c.admit(t), e)
+		}
+	}
+}
+
+// admit hands a task over and remembers it, to tell of the client's going.
+func (c *client) admit(t gate.Task) *gate.Errand {
+	e := c.front.gate.Admit(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out[e] = struct{}{}
+	return e
+}
+
+// carry takes a task through its stages to its answer.
+func (c *client) carry(turn uint, e *gate.Errand, what *fleet.Errand) {
+	write := c.do(e, what)
+	what.Body.Free()
+	c.mu.Lock()
+	delete(c.out, e)
+	c.mu.Unlock()
+	c.answer(turn, write)
+}
+
+// do carries a task and gives what writes its answer.
+func (c *client) do(e *gate.Errand, what *fleet.Errand) func() error {
+	for {
+		switch choice := e.Pick(); choice.Verdict {
+		case gate.Push:
+			result, value := c.front.fleet.Push(choice.Wanted, choice.Server, what, choice.Until)
+			e.Report(result)
+			if value != nil {
+				return func() error {
+					defer value.Free()
+					return c.conn.WriteValue(value)
+				}
+			}
+		case gate.Reject:
+			return func() error { return c.conn.WriteLine(busy(choice.Away)) }
+		case gate.Terminate:
+			return func() error { return c.conn.WriteLine("-ERR failed") }
+		case gate.Left:
+			return func() error { return net.ErrClosed }
+		}
+	}
+}
+
+// busy words a rejection.
+func busy(away time.Duration) string {
+	if away <= 0 {
+		return "-BUSY"
+	}
+	return "-BUSY " + strconv.FormatInt(int64(math.Ceil(float64(away)/float64(time.Millisecond))), 10)
+}
+
+// answer writes an answer when its turn has come. The last one of a front that closes ends the connection.
+func (c *client) answer(turn uint, write func() error) {
+	c.order.StartResponse(turn)
+	c.write.Lock()
+	err := write()
+	c.write.Unlock()
+	c.order.EndResponse(turn)
+	<-c.turns
+	c.mu.Lock()
+	c.busy--
+	c.used = time.Now()
+	c.mu.Unlock()
+	if err != nil {
+		_ = c.conn.Close()
+	} else if c.front.isClosing() {
+		c.leave()
+	}
+}
+
+func (c *client) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy == 0 && !c.over
+}
+
+// leave closes the connection if it is idle. What has come and was not read yet is to be read and answered.
+func (c *client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy == 0 && !c.over && c.conn.Quiet() {
+		_ = c.conn.Close()
+	}
+}
+
+// end tells the gate which tasks have lost their client, and gives the place back.
+func (c *client) end() {
+	c.mu.Lock()
+	c.over = true
+	var left []*gate.Errand
+	for e := range c.out {
+		left = append(left, e)
+	}
+	c.mu.Unlock()
+	for _, e := range left {
+		e.Gone()
+	}
+	_ = c.conn.Close()
+	f := c.front
+	f.mu.Lock()
+	delete(f.clients, c)
+	f.mu.Unlock()
+	<-f.places
+	f.gone.Done()
+}
+
+// parse reads a command: a task, or a line that answers it at once.
+func (c *client) parse(cmd *resp.Command) (gate.Task, *fleet.Errand, string) {
+	var t gate.Task
+	verb := strings.ToUpper(cmd.Words[0])
+	switch verb {
+	case "PING":
+		if c.front.ready.Load() {
+			return t, nil, "+PONG"
+		}
+		return t, nil, "-ERR not ready"
+	case "SVC.QUERY", "SVC.SUBMIT":
+	default:
+		return t, nil, "-ERR unknown command"
+	}
+	if len(cmd.Words) != wordsMost {
+		return t, nil, "-ERR wrong number of words"
+	}
+	var err error
+	if t.Customer, err = strconv.ParseUint(cmd.Words[1], 16, 64); err != nil {
+		return t, nil, "-ERR customer is no number"
+	}
+	e := &fleet.Errand{Verb: cmd.Words[0], Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
+	line := c.front.terms(&t, e, cmd.Words[3], verb == "SVC.QUERY")
+	return t, e, line
+}
+
+// terms reads the list of names and values; unknown names are passed on unread.
+func (f *Front) terms(t *gate.Task, e *fleet.Errand, list string, query bool) string {
+	t.Lane, t.Plan, t.Units, t.Width = -1, -1, 1, 1
+	for at := 0; at < len(list); {
+		pair, _, _ := strings.Cut(list[at:], ",")
+		name, value, _ := strings.Cut(pair, "=")
+		var err error
+		switch name {
+		case "c":
+			l, known := f.lanes[value]
+			if !known || l.pure != query {
+				return "-ERR unknown class"
+			}
+			t.Lane = l.number
+		case "t":
+			n, known := f.plans[value]
+			if !known {
+				return "-ERR unknown plan"
+			}
+			t.Plan = n
+		case "d":
+			var ms float64
+			if ms, err = strconv.ParseFloat(value, 64); err == nil && !(ms > 0 && ms < math.MaxInt32) {
+				return "-ERR deadline passed"
+			}
+			t.Patience = time.Duration(ms * float64(time.Millisecond))
+			e.Before, e.After = list[:at+len("d=")], list[at+len(pair):]
+		case "r":
+			t.Repeat = value == "1"
+		case "units":
+			if t.Units, err = strconv.ParseFloat(value, 64); err == nil && !(t.Units > 0 && t.Units < math.MaxInt32) {
+				return "-ERR units out of range"
+			}
+		case "spread":
+			t.Width, err = strconv.Atoi(value)
+		case "first":
+			t.First, err = strconv.Atoi(value)
+		}
+		if err != nil {
+			return "-ERR no number: " + name
+		}
+		at += len(pair) + 1
+	}
+	if t.Lane < 0 || t.Plan < 0 || t.Patience <= 0 {
+		return "-ERR class, plan or deadline is missing"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,362 @@
+// Package gate is the blocking face of the decisions. Whoever carries a task asks Pick what to do with it,
+// pushes where it says, and tells by Report how that ended; Tick lets time pass. Behind it the gate owns the
+// one instance of the module: it hands it events under one lock and carries out what it asks for. It decides
+// nothing.
+package gate
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/policy"
+)
+
+// Outside is what the gate asks of the network. Neither may wait, nor call back before it returns.
+type Outside struct {
+	// Count adds to a number of the counter. Told is called once with the total. Withdraw takes a call back
+	// and tells whether it had not gone out yet.
+	Count func(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) (withdraw func() bool)
+	// Probe asks a server for its load.
+	Probe func(s Server, told func(Result))
+}
+
+// Server is a server as discovery names it.
+type Server struct {
+	Name, Dial string
+	Listed     policy.Listed // its number is given here
+}
+
+// Task is what a client asks; Patience counts from now.
+type Task struct {
+	Lane, Plan, First, Width int
+
+	Customer uint64
+	Units    float64
+	Patience time.Duration
+	Repeat   bool
+}
+
+// Result tells how a push ended.
+type Result struct {
+	Outcome policy.Outcome
+	Billed  float64 // true units; 0: not told
+	Report  []float32
+}
+
+// Verdict is what is to be done with a task.
+type Verdict uint8
+
+// The verdicts. All but Push are final.
+const (
+	Push Verdict = iota
+	Reject
+	Terminate
+	Left // its client has gone: no answer is owed
+)
+
+// Choice is a verdict and what goes with it.
+type Choice struct {
+	Verdict Verdict
+	Server  Server
+	Until   time.Time       // a push that has no answer by then is given up
+	Wanted  context.Context // ends when the push is to be given up at once
+	Away    time.Duration   // a rejected client is to stay away so long
+}
+
+// Gate owns the instance.
+type Gate struct {
+	mu      sync.Mutex
+	module  *policy.Gateway
+	outside Outside
+	log     *zap.Logger
+
+	start  time.Time
+	origin time.Duration // the start on the common clock
+
+	errands map[uint32]*Errand // those that the module may still ask something of
+	latest  uint32
+	servers []Server // by the module's number
+	numbers map[string]uint32
+
+	wakes  wakes
+	calls  []*call // to the counter, oldest first; the answered leave with those before them
+	limit  time.Duration
+	alarm  *time.Timer
+	due    time.Duration // when the alarm rings; 0: never
+	watch  chan struct{}
+	report int // how many figures a load report has
+}
+
+// call is a call to the counter.
+type call struct {
+	name     uint64
+	at       time.Duration
+	over     bool
+	withdraw func() bool
+}
+
+// New makes the instance. All gateways read the same wall clock once, at their start, and go on from there by
+// the monotonic one: so windows agree between them and across restarts, and no step of the wall clock counts.
+func New(site policy.Deployment, seed int64, outside Outside, log *zap.Logger) (*Gate, error) {
+	start := time.Now()
+	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
+		errands: map[uint32]*Errand{}, numbers: map[string]uint32{}, limit: site.CountLimit,
+		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
+	var err error
+	g.module, err = policy.New(site, seed, host{g})
+	return g, err
+}
+
+// enter takes the lock and reads the clock.
+func (g *Gate) enter() time.Duration {
+	g.mu.Lock()
+	return g.now()
+}
+
+func (g *Gate) now() time.Duration { return g.origin + time.Since(g.start) }
+
+// leave sets the alarm for what is due next and gives the lock back.
+func (g *Gate) leave() {
+	for len(g.calls) > 0 && g.calls[0].over {
+		g.calls = g.calls[1:]
+	}
+	next := time.Duration(0)
+	if len(g.calls) > 0 {
+		next = g.calls[0].at + g.limit
+	}
+	if len(g.wakes) > 0 && (next == 0 || g.wakes[0].at < next) {
+		next = g.wakes[0].at
+	}
+	if next != 0 && (g.due == 0 || next < g.due) {
+		g.due = next
+		g.alarm.Reset(max(next-g.now(), 0))
+	}
+	g.mu.Unlock()
+}
+
+// Tick lets time pass until the context ends: it wakes the module and ends calls to the counter in time.
+func (g *Gate) Tick(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.alarm.C:
+		}
+		now := g.enter()
+		g.due = 0
+		for len(g.calls) > 0 && (g.calls[0].over || g.calls[0].at+g.limit <= now) {
+			if c := g.calls[0]; !c.over {
+				how := policy.TimedOut
+				if c.withdraw() {
+					how = policy.NoConnect
+				}
+				g.counted(c, 0, how)
+			}
+			g.calls = g.calls[1:]
+		}
+		for len(g.wakes) > 0 && g.wakes[0].at <= now {
+			g.module.Woke(now, heap.Pop(&g.wakes).(wake).token)
+		}
+		g.leave()
+	}
+}
+
+func (g *Gate) counted(c *call, total float64, how policy.Outcome) {
+	c.over = true
+	now := g.now()
+	g.module.Counted(now, policy.Tally{Name: c.name, Total: total, Took: now - c.at, Outcome: how})
+}
+
+// List takes the servers: all of them, or those that changed.
+func (g *Gate) List(kind policy.ListKind, servers []Server) {
+	now := g.enter()
+	defer g.leave()
+	list := make([]policy.Listed, 0, len(servers))
+	for _, s := range servers {
+		n, known := g.numbers[s.Name]
+		if !known {
+			n = uint32(len(g.servers))
+			g.numbers[s.Name] = n
+			g.servers = append(g.servers, Server{})
+		}
+		s.Listed.Server = n
+		if s.Listed.Since > 0 {
+			s.Listed.Since = min(s.Listed.Since, now) // nobody starts in the future
+		}
+		g.servers[n] = s
+		list = append(list, s.Listed)
+	}
+	g.module.List(now, kind, list)
+}
+
+// Wanted is told when the list of servers is to be asked for again.
+func (g *Gate) Wanted() <-chan struct{} { return g.watch }
+
+// Errand is a task on its way, carried by one goroutine.
+type Errand struct {
+	g       *Gate
+	id      uint32
+	choices chan Choice
+	pushes  int
+	server  uint32
+	at      time.Duration
+	giveUp  context.CancelFunc // of the push that is out
+	over    bool
+}
+
+// Admit takes a task. It is carried by calling Pick until that is final.
+func (g *Gate) Admit(t Task) *Errand {
+	now := g.enter()
+	defer g.leave()
+	g.latest++
+	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
+	g.errands[e.id] = e
+	g.module.Take(now, policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
+		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat})
+	return e
+}
+
+// Pick waits for what is to be done with the task.
+func (e *Errand) Pick() Choice { return <-e.choices }
+
+// Report tells how the push ended that was picked last. After an answer there is nothing more to pick.
+func (e *Errand) Report(r Result) {
+	now := e.g.enter()
+	defer e.g.leave()
+	e.giveUp()
+	if r.Outcome == policy.Answered {
+		e.end()
+	}
+	e.g.module.Ended(now, policy.Push{Task: e.id, Number: e.pushes - 1, Server: e.server, Outcome: r.Outcome,
+		Took: now - e.at, Done: e.over, Billed: r.Billed, Report: e.g.fields(r.Report)})
+}
+
+// Gone tells that the client has gone.
+func (e *Errand) Gone() {
+	now := e.g.enter()
+	defer e.g.leave()
+	if !e.over {
+		e.close(Choice{Verdict: Left})
+		e.g.module.Lapsed(now, e.id)
+	}
+}
+
+func (e *Errand) end() {
+	e.over = true
+	delete(e.g.errands, e.id)
+}
+
+func (e *Errand) close(c Choice) {
+	e.end()
+	e.choices <- c
+}
+
+// fields makes a report as long as the module expects it.
+func (g *Gate) fields(report []float32) []float32 {
+	if len(report) != g.report {
+		return nil
+	}
+	return report
+}
+
+// host carries out what the module asks for, under the lock.
+type host struct{ *Gate }
+
+// Push hands the carrier of a task a server.
+func (g host) Push(task, server uint32, until time.Duration) {
+	e := g.errands[task]
+	e.pushes++
+	e.server, e.at = server, g.now()
+	c := Choice{Verdict: Push, Server: g.servers[server], Until: g.start.Add(until - g.origin)}
+	c.Wanted, e.giveUp = context.WithCancel(context.Background())
+	e.choices <- c
+}
+
+// Cancel gives up the push that is out; a task never has two.
+func (g host) Cancel(task uint32, number int) {
+	if e := g.errands[task]; e != nil && number == e.pushes-1 {
+		e.giveUp()
+	}
+}
+
+// Reject is a final answer that makes trying again harmless.
+func (g host) Reject(task uint32, away time.Duration) {
+	if e := g.errands[task]; e != nil {
+		e.close(Choice{Verdict: Reject, Away: away})
+	}
+}
+
+// Terminate is a final answer that promises nothing.
+func (g host) Terminate(task uint32) {
+	if e := g.errands[task]; e != nil {
+		e.close(Choice{Verdict: Terminate})
+	}
+}
+
+// Count calls the counter.
+func (g host) Count(name uint64, keep time.Duration, units float64) {
+	c := &call{name: name, at: g.now()}
+	g.calls = append(g.calls, c)
+	c.withdraw = g.outside.Count(name, units, keep, func(total float64, how policy.Outcome) {
+		g.enter()
+		defer g.leave()
+		if !c.over { // else it was too late
+			g.counted(c, total, how)
+		}
+	})
+}
+
+// Probe asks a server for its load.
+func (g host) Probe(server uint32) {
+	at := g.now()
+	g.outside.Probe(g.servers[server], func(r Result) {
+		now := g.enter()
+		defer g.leave()
+		g.module.Probed(now, server, r.Outcome, now-at, g.fields(r.Report))
+	})
+}
+
+// Tell reaches nobody: on sockets gateways have no way to talk to each other.
+func (g host) Tell(int, []byte) {}
+
+// Watch asks for the list of servers again.
+func (g host) Watch() {
+	select {
+	case g.watch <- struct{}{}:
+	default: // already asked for
+	}
+}
+
+// Wake asks for a call of Woke.
+func (g host) Wake(token uint64, after time.Duration) {
+	heap.Push(&g.wakes, wake{at: g.now() + after, token: token})
+}
+
+// Log leaves a line in the log.
+func (g host) Log(line string) { g.log.Info(line) }
+
+// wakes is a heap of the times at which the module wants to be woken.
+type wakes []wake
+
+type wake struct {
+	at    time.Duration
+	token uint64
+}
+
+func (w wakes) Len() int           { return len(w) }
+func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
+func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+
+// Push and Pop are for package heap.
+func (w *wakes) Push(x any) { *w = append(*w, x.(wake)) }
+
+// Pop takes the last.
+func (w *wakes) Pop() any {
+	last := (*w)[len(*w)-1]
+	*w = (*w)[:len(*w)-1]
+	return last
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,149 @@
+// Package roster keeps up with discovery: which servers there are, by a watch that is begun again at once.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/boot"
+	"harrierhoist/internal/gate"
+	"harrierhoist/policy"
+)
+
+const (
+	watchWait  = 5 * time.Second // a watch with no news ends after this: a silent agent is seen then
+	answerWait = time.Second     // and is waited for so much longer; the agent is on this machine
+	listMost   = 4 << 20         // bytes of a list; longer ones are no list
+)
+
+// Roster asks discovery's agent.
+type Roster struct {
+	base         string
+	client       *http.Client
+	gate         *gate.Gate
+	log          *zap.Logger
+	halls, kinds []string
+	seq          int64
+	first        chan struct{} // closed with the first answer
+}
+
+// New makes a roster that hands what it learns to the gate, first of all the list as last held.
+func New(told *boot.Handed, g *gate.Gate, log *zap.Logger) (*Roster, error) {
+	r := &Roster{base: "http://" + told.Discovery + "/api/targets", gate: g, log: log, halls: told.Halls,
+		kinds: told.Kinds, first: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}}
+	if len(told.Known) > 0 && string(told.Known) != "null" {
+		l, err := r.decode(told.Known)
+		if err != nil {
+			return nil, fmt.Errorf("configuration: known: %w", err)
+		}
+		g.List(policy.ListCached, l.servers)
+	}
+	return r, nil
+}
+
+// First is closed once discovery has answered.
+func (r *Roster) First() <-chan struct{} { return r.first }
+
+// Watch keeps up until the context ends. After a failure it waits until the gate wants the list again.
+func (r *Roster) Watch(ctx context.Context) {
+	seen := false
+	for ctx.Err() == nil {
+		query, wait := "", answerWait
+		if seen {
+			query = fmt.Sprintf("?since=%d&timeout_ms=%d", r.seq, watchWait.Milliseconds())
+			wait += watchWait
+		}
+		l, err := r.ask(ctx, query, wait)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			r.log.Warn("discovery does not answer", zap.Error(err))
+			r.gate.List(policy.ListFailed, nil)
+			select {
+			case <-r.gate.Wanted():
+			case <-ctx.Done():
+			}
+			continue
+		}
+		kind := policy.ListChanges
+		if l.whole {
+			kind = policy.ListWhole
+		}
+		if len(l.servers) > 0 || l.whole {
+			r.gate.List(kind, l.servers)
+		}
+		r.seq = l.seq
+		if !seen {
+			seen = true
+			close(r.first)
+		}
+	}
+}
+
+func (r *Roster) ask(ctx context.Context, query string, wait time.Duration) (*list, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.base+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	return r.decode(body)
+}
+
+// list is an answer of discovery.
+type list struct {
+	seq     int64
+	whole   bool
+	servers []gate.Server
+}
+
+func (r *Roster) decode(body []byte) (*list, error) {
+	var page struct {
+		Seq   int64
+		Whole bool
+		Hosts []struct {
+			Host, Dial, Site, Class, Health string
+
+			Block  int
+			Share  float64
+			BornMs float64 `json:"born_ms"`
+		}
+	}
+	if err := json.Unmarshal(body, &page); err != nil {
+		return nil, err
+	}
+	l := &list{seq: page.Seq, whole: page.Whole}
+	for _, h := range page.Hosts {
+		stage := policy.Gone
+		switch h.Health {
+		case "in_service":
+			stage = policy.Ready
+		case "terminating":
+			stage = policy.Draining
+		}
+		l.servers = append(l.servers, gate.Server{Name: h.Host, Dial: h.Dial, Listed: policy.Listed{
+			Stage: stage, Power: h.Share, Since: boot.Span(h.BornMs), Cell: h.Block,
+			Hall: max(slices.Index(r.halls, h.Site), 0), Kind: max(slices.Index(r.kinds, h.Class), 0)}})
+	}
+	return l, nil
+}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -5,9 +5,9 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"time"
 
+	"harrierhoist/internal/boot"
 	"harrierhoist/internal/wire"
 	"harrierhoist/policy"
 )
@@ -39,7 +39,7 @@
 // for.
 func answer(fleet map[uint32]*instance, batch *wire.Batch) ([]byte, *wire.BadFrame) {
 	reply := wire.NewReply(batch.Serial)
-	now := span(batch.ClockMs)
+	now := boot.Span(batch.ClockMs)
 	var id uint32
 	named := false
 	for _, ev := range batch.Events {
@@ -73,10 +73,6 @@
 	return reply.Bytes(), nil
 }
 
-// span turns the wire's milliseconds into a time, to the microsecond, which is as fine as the wire is
-// inside.
-func span(ms float64) time.Duration { return time.Duration(math.Round(ms*1000)) * time.Microsecond }
-
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // instance is one gateway and the host that it calls.
@@ -88,7 +84,11 @@
 }
 
 func spawn(id uint32, s wire.Spawn) (*instance, error) {
-	site, err := deployment(string(s.BootInfo))
+	pairs, err := boot.ParsePairs(string(s.BootInfo))
+	if err != nil {
+		return nil, err
+	}
+	site, err := boot.Deployment(pairs)
 	if err != nil {
 		return nil, err
 	}
@@ -125,12 +125,12 @@
 	case wire.EvSubmit:
 		s := ev.Value.(wire.Submit)
 		g.Take(now, policy.Task{ID: s.ID, Lane: int(s.Cls), Plan: int(s.Terms), Customer: s.Customer,
-			First: int(s.SetStart), Width: int(s.Width), Units: float64(s.CostUnits), Expires: span(s.ExpiresMs),
+			First: int(s.SetStart), Width: int(s.Width), Units: float64(s.CostUnits), Expires: boot.Span(s.ExpiresMs),
 			Repeat: s.Opts&2 != 0})
 	case wire.EvResponse:
 		r := ev.Value.(wire.Response)
 		g.Ended(now, policy.Push{Task: r.ID, Number: int(r.Hop), Server: r.Server, Outcome: outcome(r.How),
-			Took: span(r.SpentMs), Done: r.NoMore, Billed: float64(r.Billed), Report: r.HealthInfo})
+			Took: boot.Span(r.SpentMs), Done: r.NoMore, Billed: float64(r.Billed), Report: r.HealthInfo})
 	case wire.EvFirst:
 		f := ev.Value.(wire.First)
 		g.Begun(now, f.ID, int(f.Hop))
@@ -140,11 +140,11 @@
 		g.Woke(now, ev.Ctx)
 	case wire.EvLedgerReply:
 		c := ev.Value.(wire.LedgerReply)
-		g.Counted(now, policy.Tally{Name: c.Name, Total: float64(c.Level), Took: span(c.SpentMs),
+		g.Counted(now, policy.Tally{Name: c.Name, Total: float64(c.Level), Took: boot.Span(c.SpentMs),
 			Outcome: outcome(c.How)})
 	case wire.EvProbeResult:
 		p := ev.Value.(wire.ProbeResult)
-		g.Probed(now, p.Server, outcome(p.How), span(p.SpentMs), p.HealthInfo)
+		g.Probed(now, p.Server, outcome(p.How), boot.Span(p.SpentMs), p.HealthInfo)
 	case wire.EvInbox:
 		m := ev.Value.(wire.Inbox)
 		g.Heard(now, int(m.From), m.Bytes)
@@ -194,7 +194,7 @@
 			stage = policy.Draining
 		}
 		out = append(out, policy.Listed{Server: h.Server, Stage: stage, Power: float64(h.PowerHint),
-			Since: span(h.OnlineSinceMs), Cell: int(h.Cohort), Hall: int(h.FailureDomain), Kind: int(h.Hw)})
+			Since: boot.Span(h.OnlineSinceMs), Cell: int(h.Cohort), Hall: int(h.FailureDomain), Kind: int(h.Hw)})
 	}
 	return out
 }
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -10,7 +10,7 @@
 	"harrierhoist/internal/wire"
 )
 
-const boot = `Balancers=2
+const told = `Balancers=2
 Me=0
 MyZone=0
 PolicyLimits.TryLimit=3
@@ -64,7 +64,7 @@
 }
 
 func TestInstancesShareABatch(t *testing.T) {
-	out, err := play(t, batch(), batch(to(1), spawnRec(boot), oneServer(), to(2), spawnRec(boot), oneServer()),
+	out, err := play(t, batch(), batch(to(1), spawnRec(told), oneServer(), to(2), spawnRec(told), oneServer()),
 		batch(to(2), submit(5, 0), to(1), submit(6, 0)))
 	if err != nil {
 		t.Fatal(err)
@@ -90,8 +90,8 @@
 }
 
 func TestRetireAndSpawnAgain(t *testing.T) {
-	_, err := play(t, batch(to(1), spawnRec(boot), oneServer()),
-		batch(to(1), rec(wire.EvRetire), spawnRec(boot), oneServer(), submit(5, 0)))
+	_, err := play(t, batch(to(1), spawnRec(told), oneServer()),
+		batch(to(1), rec(wire.EvRetire), spawnRec(told), oneServer(), submit(5, 0)))
 	if err != nil {
 		t.Error(err)
 	}
@@ -104,13 +104,13 @@
 		in         []byte
 	}{
 		{"never spawned", "batch 2, byte 25: event 40 for gateway 4, which is not running", batch(to(4), rec(wire.EvLapsed, u32(1)))},
-		{"retired", "batch 2, byte ", batch(to(4), spawnRec(boot), rec(wire.EvRetire), rec(wire.EvLapsed, u32(1)))},
+		{"retired", "batch 2, byte ", batch(to(4), spawnRec(told), rec(wire.EvRetire), rec(wire.EvLapsed, u32(1)))},
 		{"no to", "batch 2, byte 16: event 40 before any 'to'", batch(rec(wire.EvLapsed, u32(1)))},
 		{"settings lack", "settings: Rules.ColdFrom is missing",
-			batch(to(4), spawnRec(strings.ReplaceAll(boot, "Rules.ColdFrom=0.2\n", "")))},
+			batch(to(4), spawnRec(strings.ReplaceAll(told, "Rules.ColdFrom=0.2\n", "")))},
 		{"settings are wrong", `settings: RequestClasses.0.Effect is none of`,
-			batch(to(4), spawnRec(strings.ReplaceAll(boot, "read_like", "perhaps")))},
-		{"no lanes", "at least one lane", batch(to(4), spawnRec(strings.ReplaceAll(boot, "Classes.count=1", "Classes.count=0")))},
+			batch(to(4), spawnRec(strings.ReplaceAll(told, "read_like", "perhaps")))},
+		{"no lanes", "at least one lane", batch(to(4), spawnRec(strings.ReplaceAll(told, "Classes.count=1", "Classes.count=0")))},
 	} {
 		out, err := play(t, good, c.in)
 		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
@@ -123,7 +123,7 @@
 }
 
 func TestPanicBecomesInternalError(t *testing.T) {
-	out, err := play(t, batch(to(1), spawnRec(boot), oneServer()), batch(to(1), submit(5, 40)))
+	out, err := play(t, batch(to(1), spawnRec(told), oneServer()), batch(to(1), submit(5, 40)))
 	if err != nil {
 		t.Fatal(err)
 	}
