--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -83,7 +83,8 @@
 	numbers map[string]uint32
 
 	wakes  wakes
-	calls  []*call // to the counter, oldest first; the answered leave with those before them
+	asked  map[uint64]*wake // the latest by token
+	calls  []*call          // to the counter, oldest first; the answered leave with those before them
 	limit  time.Duration
 	alarm  *time.Timer
 	due    time.Duration // when the alarm rings; 0: never
@@ -104,7 +105,7 @@
 func New(site policy.Deployment, seed int64, outside Outside, log *zap.Logger) (*Gate, error) {
 	start := time.Now()
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
-		errands: map[uint32]*Errand{}, numbers: map[string]uint32{}, limit: site.CountLimit,
+		errands: map[uint32]*Errand{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{}, limit: site.CountLimit,
 		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
@@ -131,10 +132,10 @@
 	if len(g.wakes) > 0 && (next == 0 || g.wakes[0].at < next) {
 		next = g.wakes[0].at
 	}
-	if next != 0 && (g.due == 0 || next < g.due) {
-		g.due = next
+	if next != 0 && next != g.due { // each ring that is not needed would wake the whole process
 		g.alarm.Reset(max(next-g.now(), 0))
 	}
+	g.due = next
 	g.mu.Unlock()
 }
 
@@ -159,7 +160,9 @@
 			g.calls = g.calls[1:]
 		}
 		for len(g.wakes) > 0 && g.wakes[0].at <= now {
-			g.module.Woke(now, heap.Pop(&g.wakes).(wake).token)
+			w := heap.Pop(&g.wakes).(*wake)
+			delete(g.asked, w.token)
+			g.module.Woke(now, w.token)
 		}
 		g.leave()
 	}
@@ -333,30 +336,49 @@
 
 // Wake asks for a call of Woke.
 func (g host) Wake(token uint64, after time.Duration) {
-	heap.Push(&g.wakes, wake{at: g.now() + after, token: token})
+	w := &wake{at: g.now() + after, token: token}
+	g.asked[token] = w
+	heap.Push(&g.wakes, w)
+}
+
+// Forget takes a wake back. Most tasks end long before their clients' patience: left in, their wakes would be
+// a good part of all the times that the process is woken.
+func (g host) Forget(token uint64) {
+	if w := g.asked[token]; w != nil {
+		heap.Remove(&g.wakes, w.place)
+		delete(g.asked, token)
+	}
 }
 
 // Log leaves a line in the log.
 func (g host) Log(line string) { g.log.Info(line) }
 
 // wakes is a heap of the times at which the module wants to be woken.
-type wakes []wake
+type wakes []*wake
 
 type wake struct {
 	at    time.Duration
 	token uint64
+	place int // in the heap
 }
 
 func (w wakes) Len() int           { return len(w) }
 func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
-func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+func (w wakes) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].place, w[j].place = i, j
+}
 
 // Push and Pop are for package heap.
-func (w *wakes) Push(x any) { *w = append(*w, x.(wake)) }
+func (w *wakes) Push(x any) {
+	x.(*wake).place = len(*w)
+	*w = append(*w, x.(*wake))
+}
 
 // Pop takes the last.
 func (w *wakes) Pop() any {
 	last := (*w)[len(*w)-1]
+	(*w)[len(*w)-1] = nil
 	*w = (*w)[:len(*w)-1]
 	return last
 }
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -243,5 +243,8 @@
 // Wake asks for a timer.
 func (in *instance) Wake(token uint64, after time.Duration) { in.act().Schedule(token, millis(after)) }
 
+// Forget does nothing: timers of the simulator cannot be taken back.
+func (in *instance) Forget(uint64) {}
+
 // Log leaves a line in the report.
 func (in *instance) Log(line string) { in.act().Log(line) }
--- a/policy/fake_test.go
+++ b/policy/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -51,6 +52,9 @@
 func (f *fake) Wake(token uint64, after time.Duration) {
 	f.wakes = append(f.wakes, fakeWake{token, f.now + after})
 }
+func (f *fake) Forget(token uint64) {
+	f.wakes = slices.DeleteFunc(f.wakes, func(w fakeWake) bool { return w.token == token })
+}
 func (f *fake) Count(name uint64, _ time.Duration, units float64) {
 	f.calls = append(f.calls, fakeCall{name, units})
 	f.note("count %x %g", name, units)
--- a/policy/host.go
+++ b/policy/host.go
@@ -172,5 +172,6 @@
 	Tell(gateway int, words []byte) // below 0: all of them
 	Watch()                         // asks for the list and its changes
 	Wake(token uint64, after time.Duration)
+	Forget(token uint64) // of a wake that is not needed any more; it may come all the same
 	Log(line string)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1016,5 +1016,6 @@
 		units := j.Units * float64(min(len(j.pushes), 1))
 		c.post(&c.desk.part, note{what: c.desk.settled, job: j, units: units})
 		delete(c.jobs, j.ID)
+		c.host.Forget(uint64(j.ID)*wakeKinds + wakePatience)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -646,3 +646,15 @@
 	s.wantPushed(2, 0)
 	s.want("reject 2 away 2s", 1)
 }
+
+func TestTaskThatEndsTakesItsWakeBack(t *testing.T) {
+	s := begin(t, site(), 2)
+	s.take(1, 0, 0, 1)
+	if len(s.wakes) != 1 {
+		t.Fatalf("%d wakes while the task is out, want 1", len(s.wakes))
+	}
+	s.end(1, Answered)
+	if len(s.wakes) != 0 {
+		t.Errorf("%d wakes left behind by a task that is over", len(s.wakes))
+	}
+}
