Connections that end: what was not read is not taken twice, silent machines lose idle ones, errors reach the client

Found by reading, each with a test to come or here. front: a connection closed as idle while its reader held a whole command would have had that task pushed and sent again by its client; begin() and leave() now agree under one lock. A client that takes no answers, or is never idle while all places are taken, no longer stops a drain or the next client. fleet: the module gives a push up just before its patience ends, so a silent machine showed as given up, never as timed out, and kept its idle connections; both drop them now. counter: calls lost with a connection are told before any on the next. A closing line after broken RESP was lost to a reset where more was still coming; the connection is parted from in order.

--- a/internal/boot/handed.go
+++ b/internal/boot/handed.go
@@ -62,6 +62,9 @@
 			return nil, fmt.Errorf("configuration: %s is missing", name)
 		}
 	}
+	if file.Limits.Sockets <= 0 {
+		return nil, errors.New("configuration: limits.sockets is missing")
+	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: seed is not 16 hex digits: %q", file.Seed)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -18,7 +18,7 @@
 
 const (
 	linesMost  = 4                      // connections: a part of the counter that is slow holds up only some
-	queueMost  = 256                    // calls that wait for a connection to come up; more are told so
+	queueMost  = 256                    // calls that wait for a connection to come up; more are turned away
 	silentMost = time.Second            // a connection with no answer for so long is taken for dead
 	nameLife   = time.Millisecond       // the least life of a name in the protocol
 	writeLimit = 250 * time.Millisecond // a few bytes that take longer to write go nowhere
@@ -105,7 +105,7 @@
 		return
 	}
 	if l.conn != conn { // it went down a moment ago
-		go c.told(0, policy.NoConnect)
+		c.told(0, policy.NoConnect)
 		return
 	}
 	c.at = time.Now()
@@ -150,48 +150,51 @@
 	return l.conn
 }
 
-// down closes a connection, once. What was written on it may have been added.
+// down closes a connection, once. What was written on it may have been added. It is told under the lock: calls
+// on the next connection must not be answered before.
 func (l *line) down(conn *textproto.Conn, why string) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conn != conn {
-		l.mu.Unlock()
 		return
 	}
-	lost := l.out
-	l.conn, l.sock, l.out = nil, nil, nil
-	l.mu.Unlock()
 	_ = conn.Close()
-	if len(lost) > 0 {
-		l.log.Info("a connection to the counter is lost", zap.String("why", why), zap.Int("calls", len(lost)))
+	if len(l.out) > 0 {
+		l.log.Info("a connection to the counter is lost", zap.String("why", why), zap.Int("calls", len(l.out)))
 	}
-	for _, c := range lost {
+	for _, c := range l.out {
 		c.told(0, policy.TimedOut)
 	}
+	l.conn, l.sock, l.out = nil, nil, nil
 }
 
 // read matches answers with calls, in order.
 func (l *line) read(conn *textproto.Conn) {
+	why := "an answer to no call"
 	for {
 		text, err := conn.ReadLine()
 		if err != nil {
-			l.down(conn, err.Error())
-			return
+			why = err.Error()
+			break
 		}
-		l.mu.Lock()
-		if l.conn != conn {
-			l.mu.Unlock()
-			return
+		if !l.match(conn, text) {
+			break
 		}
-		if len(l.out) == 0 {
-			l.mu.Unlock()
-			l.down(conn, "an answer to no call")
-			return
-		}
-		c := l.out[0]
-		l.out = l.out[1:]
-		l.mu.Unlock()
-		c.told(answer(text))
 	}
+	l.down(conn, why)
+}
+
+// match tells the oldest call on a connection its answer; false if there is none.
+func (l *line) match(conn *textproto.Conn, text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != conn || len(l.out) == 0 {
+		return false
+	}
+	c := l.out[0]
+	l.out = l.out[1:]
+	c.told(answer(text))
+	return true
 }
 
 // answer reads a line: what is turned away or no such call has added nothing.
--- /dev/null
+++ b/internal/counter/counter_test.go
@@ -0,0 +1,135 @@
+package counter
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/standin"
+	"harrierhoist/policy"
+)
+
+// told is one answer that a caller got.
+type told struct {
+	call  int
+	total float64
+	how   policy.Outcome
+}
+
+type caller struct {
+	*testing.T
+	c    *Counter
+	got  chan told
+	made int
+}
+
+func dial(t *testing.T, addr string) *caller {
+	return &caller{T: t, c: New(addr, time.Second, zap.NewNop()), got: make(chan told, 100)}
+}
+
+func (c *caller) add(name uint64, units float64) func() bool {
+	n := c.made
+	c.made++
+	return c.c.Add(name, units, 4*time.Second, func(total float64, how policy.Outcome) { c.got <- told{n, total, how} })
+}
+
+func (c *caller) want(want told) {
+	c.Helper()
+	select {
+	case got := <-c.got:
+		if got != want {
+			c.Errorf("told %+v, want %+v", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		c.Fatalf("nothing told, want %+v", want)
+	}
+}
+
+func TestCallsAreWordedAndAnsweredInOrder(t *testing.T) {
+	s := standin.NewCounter(t)
+	c := dial(t, s.Addr)
+	c.add(7, 2.5)
+	c.add(7, -0.5)
+	c.add(7, 0)
+	c.want(told{0, 2.5, policy.Answered})
+	c.want(told{1, 2, policy.Answered})
+	c.want(told{2, 2, policy.Answered})
+	if got := s.Call(t); got != "incr 7 2.5 4000" {
+		t.Errorf("called %q", got)
+	}
+}
+
+func TestLateAnswerIsNotTakenForAnothers(t *testing.T) {
+	s := standin.NewCounter(t)
+	c := dial(t, s.Addr)
+	letGo := s.Hold()
+	first := c.add(8, 5)
+	s.Call(t)
+	if first() {
+		t.Error("a call that is out was withdrawn")
+	}
+	c.add(8, 1)
+	letGo()
+	c.want(told{0, 5, policy.Answered})
+	c.want(told{1, 6, policy.Answered})
+}
+
+func TestLostConnectionMayHaveAddedAndIsMadeAgain(t *testing.T) {
+	l := standin.Listen(t)
+	c := dial(t, l.Addr().String())
+	c.add(8, 1)
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if line, _ := bufio.NewReader(conn).ReadString('\n'); line != "incr 8 1 4000\r\n" {
+		t.Fatalf("called %q", line)
+	}
+	_ = conn.Close()
+	c.want(told{0, 0, policy.TimedOut})
+	c.add(8, 1)
+	if conn, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(conn, "ok 9\r\n")
+	c.want(told{1, 9, policy.Answered})
+}
+
+func TestNoConnectionAddsNothing(t *testing.T) {
+	l := standin.Listen(t)
+	_ = l.Close()
+	c := dial(t, l.Addr().String())
+	c.add(8, 1)
+	c.want(told{0, 0, policy.NoConnect})
+}
+
+func TestWithdrawnCallNeverGoesOut(t *testing.T) {
+	s := standin.NewCounter(t)
+	l := &line{addr: s.Addr, within: time.Second, log: zap.NewNop(), waiting: make(chan *call, 2)}
+	got := make(chan told, 2)
+	gone, kept := &call{text: "incr 1 1 1"}, &call{text: "incr 2 1 1"}
+	kept.told = func(total float64, how policy.Outcome) { got <- told{0, total, how} }
+	gone.state.Store(withdrawn)
+	l.waiting <- gone
+	l.waiting <- kept
+	go l.write()
+	<-got
+	if text := s.Call(t); text != "incr 2 1 1" {
+		t.Errorf("called %q", text)
+	}
+	close(l.waiting)
+}
+
+func TestTurnedAwayAddsNothing(t *testing.T) {
+	for text, want := range map[string]policy.Outcome{"busy": policy.Full, "error": policy.Full, "ok x": policy.Full,
+		"ok 4.5": policy.Answered, strings.Repeat("k", 9): policy.Full} {
+		if total, how := answer(text); how != want || how == policy.Answered && total != 4.5 {
+			t.Errorf("%q: got %v", text, fmt.Sprint(total, how))
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,6 +61,9 @@
 // caller's to free. The context gives the push up, which closes its connection.
 func (f *Fleet) Push(ctx context.Context, to gate.Server, e *Errand, until time.Time) (gate.Result, *resp.Bulk) {
 	began := time.Now()
+	if ctx.Err() != nil {
+		return gate.Result{Outcome: policy.Moot}, nil
+	}
 	c, err := f.take(ctx, to.Dial, until)
 	if err != nil {
 		return gate.Result{Outcome: unsent(ctx)}, nil
@@ -80,12 +83,15 @@
 	if stopped := stop(); err != nil {
 		f.drop(c)
 		how := policy.Reset
-		switch {
-		case !stopped:
+		if !stopped {
 			how = policy.Cancelled
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
 			how = policy.TimedOut
-			f.forget(to.Dial, began)
+		}
+		if how != policy.Reset {
+			// No answer: the machine may be gone without a word. Connections to it that were last used before are
+			// dropped, as they would be silent too; if it was one long task, they are made again.
+			f.sweep(to.Dial, began)
 		}
 		return gate.Result{Outcome: how}, nil
 	} else if stopped {
@@ -266,10 +272,6 @@
 	f.mu.Unlock()
 }
 
-// forget drops a server's idle connections that were last used before a time: a push that began then got no
-// answer, so the machine may be gone without a word, and what stays open to it is silent.
-func (f *Fleet) forget(dial string, before time.Time) { f.sweep(dial, before) }
-
 // Sweep drops connections in time that nobody uses, until the context ends.
 func (f *Fleet) Sweep(ctx context.Context) {
 	every := time.NewTicker(max(f.idleMost/4, time.Second))
@@ -292,6 +294,7 @@
 	}
 }
 
+// sweep drops a server's idle connections that were last used before a time.
 func (f *Fleet) sweep(dial string, before time.Time) {
 	f.mu.Lock()
 	list := f.kept[dial]
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"harrierhoist/internal/gate"
+	"harrierhoist/internal/standin"
+	"harrierhoist/policy"
+)
+
+// push sends one task and checks how it ends.
+func push(t *testing.T, f *Fleet, s *standin.Server, want policy.Outcome) gate.Result {
+	t.Helper()
+	e := &Errand{Verb: "SVC.QUERY", Customer: "01", ID: "02", Before: "c=a,d=", After: ",k=7"}
+	got, value := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(5*time.Second))
+	if got.Outcome != want || (value != nil) != (want == policy.Answered) {
+		t.Fatalf("ended %v (value %v), want %v", got.Outcome, value, want)
+	}
+	value.Free()
+	return got
+}
+
+func fleet(most int) *Fleet { return New(time.Second, time.Minute, []string{"inflight", "util"}, most) }
+
+func TestOutcomesAreTold(t *testing.T) {
+	answers := map[string]policy.Outcome{
+		standin.Value("hello", 3):                  policy.Answered,
+		"-ERR failed used=3,cost=2 inflight=7\r\n": policy.Errored,
+		"-BUSY\r\n":     policy.Full,
+		"*1\r\n$-1\r\n": policy.Errored,
+		standin.HangUp:  policy.Reset,
+		"nonsense\r\n":  policy.Reset,
+		"*3\r\n$1\r\nv\r\n$-1\r\n$12\r\ninflight=7,u": policy.TimedOut,
+	}
+	for text, want := range answers {
+		s := standin.NewServer(t, func([]string) string { return text })
+		f := fleet(10)
+		if want == policy.TimedOut {
+			e := &Errand{Verb: "SVC.QUERY"}
+			if got, _ := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(100*time.Millisecond)); got.Outcome != want {
+				t.Errorf("%q: ended %v", text, got.Outcome)
+			}
+			continue
+		}
+		got := push(t, f, s, want)
+		if words := strings.Join(s.Got(t), " "); !strings.HasPrefix(words, "SVC.QUERY 01 02 c=a,d=") || !strings.HasSuffix(words, ",k=7") {
+			t.Errorf("sent %q", words)
+		}
+		if cost := map[policy.Outcome]float64{policy.Answered: 3, policy.Errored: 2}[want]; got.Billed != cost && text[0] != '*' {
+			t.Errorf("%q: billed %v", text, got.Billed)
+		}
+	}
+}
+
+func TestLoadReportsAreReadByName(t *testing.T) {
+	s := standin.NewServer(t, func([]string) string { return "*3\r\n$1\r\nv\r\n$-1\r\n$25\r\ninflight=7,x=1,util=0.610\r\n" })
+	if got := push(t, fleet(9), s, policy.Answered).Report; len(got) != 2 || got[0] != 7 || got[1] != 0.61 {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestConnectionIsUsedAgainButNotOneThatTheServerClosed(t *testing.T) {
+	s := standin.NewServer(t, func([]string) string { return standin.Value("hello", 1) })
+	f := fleet(10)
+	push(t, f, s, policy.Answered)
+	push(t, f, s, policy.Answered)
+	if n := s.Conns(); n != 1 {
+		t.Fatalf("%d connections for two pushes in turn", n)
+	}
+	_ = s.Conn(t).Close()
+	standin.Eventually(t, "the close", func() bool { return !f.kept[s.Addr][0].Quiet() })
+	push(t, f, s, policy.Answered) // written to the closed one, it would have ended as a reset
+}
+
+func TestIdleConnectionIsDroppedBeforeTheServerDropsIt(t *testing.T) {
+	s := standin.NewServer(t, func([]string) string { return standin.Value("hello", 1) })
+	f := New(time.Second, 20*time.Millisecond, nil, 10)
+	push(t, f, s, policy.Answered)
+	time.Sleep(11 * time.Millisecond) // beyond half of the limit
+	push(t, f, s, policy.Answered)
+	if n := s.Conns(); n != 2 {
+		t.Errorf("%d connections, want a new one", n)
+	}
+}
+
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	s := standin.NewServer(t, func([]string) string { return "" })
+	f := fleet(10)
+	ctx, giveUp := context.WithCancel(context.Background())
+	ended := make(chan policy.Outcome)
+	go func() {
+		got, _ := f.Push(ctx, gate.Server{Dial: s.Addr}, &Errand{Verb: "SVC.SUBMIT"}, time.Now().Add(time.Minute))
+		ended <- got.Outcome
+	}()
+	s.Got(t)
+	giveUp()
+	if got := <-ended; got != policy.Cancelled {
+		t.Errorf("ended %v", got)
+	}
+	if n, err := s.Conn(t).Read(make([]byte, 1)); err == nil {
+		t.Errorf("the server still has a connection, with %d bytes", n)
+	}
+	got, _ := f.Push(ctx, gate.Server{Dial: s.Addr}, &Errand{}, time.Now().Add(time.Minute))
+	if got.Outcome != policy.Moot || f.open != 0 || s.Commands() != 0 {
+		t.Errorf("given up before it began: ended %v, %d connections", got.Outcome, f.open)
+	}
+}
+
+func TestSilentMachineLosesItsIdleConnections(t *testing.T) {
+	silent := false
+	s := standin.NewServer(t, func([]string) string {
+		if silent {
+			return ""
+		}
+		return standin.Value("hello", 1)
+	})
+	f := fleet(10)
+	one, _ := f.take(context.Background(), s.Addr, time.Now().Add(time.Minute))
+	push(t, f, s, policy.Answered)
+	f.keep(s.Addr, one)
+	silent = true
+	e := &Errand{Verb: "SVC.QUERY"}
+	if got, _ := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(50*time.Millisecond)); got.Outcome != policy.TimedOut {
+		t.Fatalf("ended %v", got.Outcome)
+	}
+	if n := len(f.kept[s.Addr]); n != 0 || f.open != 0 {
+		t.Errorf("%d idle and %d open connections left to a silent machine", n, f.open)
+	}
+}
+
+func TestNoMoreConnectionsThanHandedOut(t *testing.T) {
+	answer := func([]string) string { return standin.Value("hello", 1) }
+	a, b := standin.NewServer(t, answer), standin.NewServer(t, answer)
+	f := fleet(1)
+	push(t, f, a, policy.Answered)
+	push(t, f, b, policy.Answered) // takes the place of the idle one
+	if _, err := a.Conn(t).Read(make([]byte, 1)); err == nil {
+		t.Error("the idle connection stands")
+	}
+	busy, err := f.take(context.Background(), b.Addr, time.Now().Add(time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	push(t, f, a, policy.NoConnect)
+	f.drop(busy)
+	push(t, f, a, policy.Answered)
+}
+
+func TestProbeTellsTheLoad(t *testing.T) {
+	s := standin.NewServer(t, func(words []string) string {
+		if strings.Join(words, " ") != "INFO load" {
+			return "-ERR\r\n"
+		}
+		return "$19\r\ninflight=2,util=0.5\r\n"
+	})
+	told := make(chan gate.Result, 1)
+	fleet(1).Probe(gate.Server{Dial: s.Addr}, func(r gate.Result) { told <- r })
+	if got := <-told; got.Outcome != policy.Answered || len(got.Report) != 2 || got.Report[1] != 0.5 {
+		t.Errorf("told %+v", got)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,8 @@
 const (
 	keepTaking = 400 * time.Millisecond // after SIGTERM clients still come so long, as the protocol says
 	wordsMost  = 4                      // of a command, besides a value
+	writeMost  = 3 * time.Second        // a client that takes no answer for the longest deadline counted has gone
+	partMost   = time.Second            // a client whose words were no command has so long to read that
 )
 
 // Front owns the connections of clients.
@@ -37,10 +39,12 @@
 	ready atomic.Bool
 
 	places  chan struct{} // one a connection, and one for the next
+	crowded atomic.Bool   // the next waits for a place
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	closing bool
-	gone    sync.WaitGroup
+	served  chan struct{}  // closed once nothing more is accepted
+	gone    sync.WaitGroup // clients
 }
 
 type lane struct {
@@ -51,7 +55,8 @@
 // New makes a front that holds at most so many connections, with at most so many tasks at once on each.
 func New(site *policy.Deployment, g *gate.Gate, f *fleet.Fleet, onOne, most int, log *zap.Logger) *Front {
 	fr := &Front{gate: g, fleet: f, log: log, lanes: map[string]lane{}, plans: map[string]int{}, onOne: onOne,
-		places: make(chan struct{}, max(most, 1)), clients: map[*client]struct{}{}}
+		places: make(chan struct{}, max(most, 1)), clients: map[*client]struct{}{},
+		served: make(chan struct{})}
 	for i, l := range site.Lanes {
 		fr.lanes[l.Name] = lane{i, l.Effect == policy.Pure}
 	}
@@ -66,6 +71,7 @@
 
 // Serve accepts clients until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
+	defer close(f.served)
 	for {
 		f.place()
 		conn, err := l.Accept()
@@ -82,9 +88,13 @@
 			out: map[*gate.Errand]struct{}{}, used: time.Now()}
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
+		late := f.closing
 		f.mu.Unlock()
 		f.gone.Add(1)
 		go c.read()
+		if late {
+			c.leave()
+		}
 	}
 }
 
@@ -97,16 +107,19 @@
 	}
 	f.mu.Lock()
 	var oldest *client
+	since := time.Now()
 	for c := range f.clients {
-		if c.idle() && (oldest == nil || c.used.Before(oldest.used)) {
-			oldest = c
+		if used, idle := c.idle(); idle && used.Before(since) {
+			oldest, since = c, used
 		}
 	}
 	f.mu.Unlock()
+	f.crowded.Store(true) // whoever becomes idle leaves
 	if oldest != nil {
 		oldest.leave()
 	}
 	f.places <- struct{}{}
+	f.crowded.Store(false)
 }
 
 // Drain keeps taking for a while, then takes no new connections, closes those that are idle, and waits until
@@ -124,6 +137,7 @@
 	for _, c := range all {
 		c.leave()
 	}
+	<-f.served
 	f.gone.Wait()
 }
 
@@ -139,7 +153,6 @@
 	conn  *resp.Conn
 	turns chan struct{}      // one a task in hand: bounds them
 	order textproto.Pipeline // answers go in the order of their tasks
-	write sync.Mutex         // held while an answer is written, and while the connection is closed
 
 	mu   sync.Mutex
 	out  map[*gate.Errand]struct{}
@@ -161,12 +174,16 @@
 		if err != nil && !errors.As(err, &bad) {
 			return
 		}
-		c.mu.Lock()
-		c.busy++
-		c.mu.Unlock()
+		if !c.begin() {
+			if cmd != nil {
+				cmd.Body.Free()
+			}
+			return
+		}
 		turn := c.order.Next()
 		if err != nil {
 			c.answer(turn, func() error { return c.conn.WriteLine("-ERR " + bad.Error()) })
+			c.conn.Part(partMost)
 			return
 		}
 		if t, e, line := c.parse(cmd); line != "" {
@@ -228,12 +245,12 @@
 	return "-BUSY " + strconv.FormatInt(int64(math.Ceil(float64(away)/float64(time.Millisecond))), 10)
 }
 
-// answer writes an answer when its turn has come. The last one of a front that closes ends the connection.
+// answer writes an answer when its turn has come. In a front that closes, or that has no place for the next
+// client, the last one ends the connection.
 func (c *client) answer(turn uint, write func() error) {
 	c.order.StartResponse(turn)
-	c.write.Lock()
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeMost))
 	err := write()
-	c.write.Unlock()
 	c.order.EndResponse(turn)
 	<-c.turns
 	c.mu.Lock()
@@ -242,26 +259,39 @@
 	c.mu.Unlock()
 	if err != nil {
 		_ = c.conn.Close()
-	} else if c.front.isClosing() {
+	} else if c.front.crowded.Load() || c.front.isClosing() {
 		c.leave()
 	}
 }
 
-func (c *client) idle() bool {
+// idle tells since when the connection has had nothing in hand, if it has none.
+func (c *client) idle() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy == 0 && !c.over
+	return c.used, c.busy == 0 && !c.over
 }
 
-// leave closes the connection if it is idle. What has come and was not read yet is to be read and answered.
+// leave closes the connection if it is idle. What has come and was not read yet is to be read and answered;
+// what is read from here on is not taken any more, as the client sends it again elsewhere.
 func (c *client) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy == 0 && !c.over && c.conn.Quiet() {
+		c.over = true
 		_ = c.conn.Close()
 	}
 }
 
+// begin counts a command that was read, unless the connection was given up meanwhile.
+func (c *client) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.over {
+		c.busy++
+	}
+	return !c.over
+}
+
 // end tells the gate which tasks have lost their client, and gives the place back.
 func (c *client) end() {
 	c.mu.Lock()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,7 +15,8 @@
 	"harrierhoist/policy"
 )
 
-// Outside is what the gate asks of the network. Neither may wait, nor call back before it returns.
+// Outside is what the gate asks of the network. Neither may wait, nor call back before it returns: the gate's
+// lock is held, and a call back takes it.
 type Outside struct {
 	// Count adds to a number of the counter. Told is called once with the total. Withdraw takes a call back
 	// and tells whether it had not gone out yet.
@@ -187,9 +188,6 @@
 			g.servers = append(g.servers, Server{})
 		}
 		s.Listed.Server = n
-		if s.Listed.Since > 0 {
-			s.Listed.Since = min(s.Listed.Since, now) // nobody starts in the future
-		}
 		g.servers[n] = s
 		list = append(list, s.Listed)
 	}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -155,6 +155,22 @@
 	return err == nil && quiet
 }
 
+// Part ends the connection after a message that could not be read: closed with that still coming, it would be
+// reset, and the other side might never see the answer. What comes is thrown away, for so long at most.
+func (c *Conn) Part(most time.Duration) {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(most))
+		part := buffers.Get().(*[bufferSize]byte)
+		for {
+			if _, err := c.Read(part[:]); err != nil {
+				break
+			}
+		}
+		buffers.Put(part)
+	}
+	_ = c.Close()
+}
+
 // Abort makes whoever reads or writes stop at once.
 func (c *Conn) Abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,147 @@
+package resp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"harrierhoist/internal/standin"
+)
+
+// pair is a connection, and the other end of it.
+func pair(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
+	l := standin.Listen(t)
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = far.Close(), near.Close() })
+	return NewConn(near), far
+}
+
+// read gives a connection what the other end writes.
+func read(t *testing.T, text string) *Conn {
+	t.Helper()
+	c, far := pair(t)
+	go func() {
+		_, _ = io.WriteString(far, text)
+		_ = far.(*net.TCPConn).CloseWrite()
+	}()
+	if err := c.Await(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestCommandPassesUnchanged(t *testing.T) {
+	for _, size := range []int{0, 1, bufferSize, bufferSize + 1, valueMost} {
+		body := strings.Repeat("x", size)
+		c := read(t, standin.Command("SVC.SUBMIT", "01", "02", "c=a", body)+standin.Command("PING"))
+		cmd, err := c.ReadCommand(4)
+		if err != nil || len(cmd.Words) != 4 || cmd.Words[3] != "c=a" || cmd.Body.String() != body {
+			t.Fatalf("size %d: got %+v, %v", size, cmd, err)
+		}
+		if err := c.Await(); err != nil {
+			t.Fatal(err)
+		}
+		ping, err := c.ReadCommand(4)
+		if err != nil || ping.Words[0] != "PING" || ping.Body != nil {
+			t.Fatalf("behind it: got %+v, %v", ping, err)
+		}
+		out, far := pair(t)
+		go func() { _, _ = out.WriteCommand(cmd), out.Close() }()
+		if got, _ := io.ReadAll(far); string(got) != standin.Command("SVC.SUBMIT", "01", "02", "c=a", body) {
+			t.Errorf("size %d: %d bytes written otherwise", size, len(got))
+		}
+	}
+}
+
+func TestBadCommandsAreToldApartFromLostClients(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		bad  bool
+	}{
+		"inline":           {"PING\r\n", true},
+		"no words":         {"*0\r\n", true},
+		"too many words":   {"*7\r\n", true},
+		"no number":        {"*x\r\n", true},
+		"huge number":      {"*99999999999999999999\r\n", true},
+		"null word":        {"*1\r\n$-1\r\n", true},
+		"long word":        {"*1\r\n$2000\r\n", true},
+		"long value":       {"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$65537\r\n", true},
+		"no end":           {"*1\r\n$4\r\nPINGxx", true},
+		"line without end": {strings.Repeat("*", 200<<10), true},
+		"cut off":          {"*1\r\n$4\r\nPI", false},
+		"cut in a value":   {"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$9000\r\nxx", false},
+	} {
+		_, err := read(t, c.text).ReadCommand(4)
+		var bad BadMessage
+		if err == nil || errors.As(err, &bad) != c.bad {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestRepliesOfServers(t *testing.T) {
+	for text, want := range map[string]Reply{
+		standin.Value("hello", 4):               {Kind: '*', Notes: []string{"used=10,cost=4", ""}},
+		"$5\r\nhello\r\n":                       {Kind: '$'},
+		"-ERR failed used=3\r\n":                {Kind: '-', Line: "ERR failed used=3"},
+		"-BUSY\r\n":                             {Kind: '-', Line: "BUSY"},
+		"+PONG\r\n":                             {Kind: '+', Line: "PONG"},
+		"*3\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n":   {Kind: '*', Notes: []string{"", ""}},
+		"*2\r\n$5\r\nhello\r\n$4\r\ninfl\r\n":   {Kind: '*', Notes: []string{"infl"}},
+		"*1\r\n$5\r\nhello\r\n-ERR of others\r": {Kind: '*'},
+	} {
+		got, err := read(t, text).ReadReply()
+		if err != nil || got.Kind != want.Kind || strings.Join(got.Notes, "|") != strings.Join(want.Notes, "|") {
+			t.Errorf("%q: got %+v, %v", text, got, err)
+			continue
+		}
+		if value := strings.Contains(text, "hello"); value != (got.Value != nil) || value && got.Value.String() != "hello" {
+			t.Errorf("%q: got value %v", text, got.Value)
+		}
+		if !strings.Contains(text, "hello") && got.Line != want.Line {
+			t.Errorf("%q: got line %q", text, got.Line)
+		}
+	}
+	for _, text := range []string{"\r\n", "?x\r\n", "*0\r\n", "*1\r\n+x\r\n", "$70000\r\n", "*2\r\n$1\r\na\r\n"} {
+		if got, err := read(t, text).ReadReply(); err == nil {
+			t.Errorf("%q was taken for %+v", text, got)
+		}
+	}
+}
+
+func TestWaitingConnectionHoldsNoBuffer(t *testing.T) {
+	c := read(t, standin.Command("PING")+standin.Command("PING"))
+	for i := range 2 {
+		if err := c.Await(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.ReadCommand(4); err != nil {
+			t.Fatal(err)
+		}
+		if i == 1 && c.in != nil {
+			t.Error("a reader is held with nothing left to read")
+		}
+	}
+}
+
+func TestQuietSeesWhatCameAndWhoLeft(t *testing.T) {
+	c, far := pair(t)
+	if !c.Quiet() {
+		t.Error("a new connection is not quiet")
+	}
+	_, _ = io.WriteString(far, "x")
+	standin.Eventually(t, "bytes", func() bool { return !c.Quiet() })
+	c, far = pair(t)
+	_ = far.Close()
+	standin.Eventually(t, "the end", func() bool { return !c.Quiet() })
+}
