--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -1,6 +1,11 @@
 package boot
 
-import "testing"
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
 
 func TestPairs(t *testing.T) {
 	p, err := ParsePairs("A.Ms=2.5\nB=true\nC=x,y\nE=\nUnheardOf=1\n")
@@ -23,3 +28,54 @@
 		t.Error("a line without '=' was taken")
 	}
 }
+
+const told = `{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ffffffffffffffff",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"127.0.0.1:3","known":{"seq":1,"whole":true,"hosts":[]},
+"settings":{"Balancers":2,"Me":1,"MyZone":0,"Dcs":["a","b"],"Models":["m"],"Report":{"Fields":[],"How":"off"},
+"FamilyInfo":{"HasCounter":true,"CountLimitMs":30.5},"PolicyLimits":{"TryLimit":6,"ConnectTimeoutMs":250,
+"IdleCloseMs":30000,"StreamsPerConn":100},"Rules":{"DrainGraceMs":1000,"ColdFrom":0.15,"WarmAfterMs":16000,
+"FallMultiple":2,"TipAfterMs":1500},"RequestClasses":[{"Name":"look","AimMs":600,"DeadlineMs":2500,
+"Effect":"read_like"},{"Name":"hold","AimMs":400,"DeadlineMs":1500,"Effect":"idempotency_key","Group":"cell"}],
+"TiersOfService":[{"Name":"start","UnitsPerS":2.2,"PeakUnits":12}],"SomethingNew":{"Deep":[1,[2]]}}}`
+
+func TestNestedSettingsSayTheSameAsLines(t *testing.T) {
+	h, err := parse([]byte(told))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, _ := ParsePairs("Balancers=2\nMe=1\nMyZone=0\nDcs=a,b\nReport.Fields=\nFamilyInfo.HasCounter=true\n" +
+		"FamilyInfo.CountLimitMs=30.5\nPolicyLimits.TryLimit=6\nRules.DrainGraceMs=1000\nRules.ColdFrom=0.15\n" +
+		"Rules.WarmAfterMs=16000\nRules.FallMultiple=2\nRules.TipAfterMs=1500\nRequestClasses.count=2\n" +
+		"RequestClasses.0.Name=look\nRequestClasses.0.AimMs=600\nRequestClasses.0.DeadlineMs=2500\n" +
+		"RequestClasses.0.Effect=read_like\nRequestClasses.1.Name=hold\nRequestClasses.1.AimMs=400\n" +
+		"RequestClasses.1.DeadlineMs=1500\nRequestClasses.1.Effect=idempotency_key\nRequestClasses.1.Group=cell\n" +
+		"TiersOfService.count=1\nTiersOfService.0.Name=start\nTiersOfService.0.UnitsPerS=2.2\n" +
+		"TiersOfService.0.PeakUnits=12\n")
+	want, err := Deployment(lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(h.Deployment, want) {
+		t.Errorf("got  %+v\nwant %+v", h.Deployment, want)
+	}
+	if h.Seed != -1 || h.Sockets != 1024 || h.MemoryMB != 192 || h.Cores != 1 || h.OnOne != 100 ||
+		h.ConnectWithin != 250*time.Millisecond || h.IdleLimit != 30*time.Second || len(h.Halls) != 2 || h.Kinds[0] != "m" {
+		t.Errorf("got %+v", h)
+	}
+}
+
+func TestBadStartDataIsOnePlainLine(t *testing.T) {
+	for old, bad := range map[string]string{
+		`"n3"`: `3`, `"listen":"127.0.0.1:1"`: `"listen":""`, `"ffffffffffffffff"`: `"nonsense"`, `1024`: `0`,
+		`"127.0.0.1:3"`: `""`, `"TryLimit":6,`: ``, `"read_like"`: `"odd"`, `"IdleCloseMs":30000,`: ``, `}}}`: `}}`,
+		`"cell"`: `"odd"`, `30.5`: `"x"`,
+	} {
+		_, err := parse([]byte(strings.Replace(told, old, bad, 1)))
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: got %v", bad, old, err)
+		}
+	}
+	if _, err := Read(""); err == nil {
+		t.Error("no file was taken")
+	}
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,164 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/policy"
+)
+
+// counted is a call to the counter that waits for its answer.
+type counted struct {
+	units float64
+	told  func(float64, policy.Outcome)
+}
+
+// story is a gate with one server, and a counter that answers when it is told to.
+type story struct {
+	*testing.T
+	g         *Gate
+	calls     chan counted
+	withdrawn bool
+}
+
+func begin(t *testing.T) *story {
+	t.Helper()
+	s := &story{T: t, calls: make(chan counted, 100)}
+	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, HasCounter: true,
+		CountLimit: 30 * time.Millisecond, PushLimit: 5, Cancelling: true, RetryAfter: true, Settles: true,
+		MaxRetryAfter: 2 * time.Second, DrainGrace: time.Second, AnswerSlack: 8 * time.Millisecond, TipAfter: time.Second,
+		Lanes: []policy.Lane{
+			{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second, Effect: policy.Pure},
+			{Name: "pay", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second, Effect: policy.Effectful}},
+		Plans: []policy.Plan{{Name: "wide", Rate: 1000, Burst: 4000}, {Name: "small", Rate: 1, Burst: 3}}}
+	count := func(_ uint64, units float64, _ time.Duration, told func(float64, policy.Outcome)) func() bool {
+		s.calls <- counted{units, told}
+		return func() bool { return s.withdrawn }
+	}
+	var err error
+	if s.g, err = New(site, 7, Outside{Count: count}, zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.g.Tick(ctx)
+	s.list(policy.ListWhole, policy.Ready)
+	return s
+}
+
+func (s *story) list(kind policy.ListKind, stage policy.Stage) {
+	s.g.List(kind, []Server{{Name: "s-1", Dial: "here", Listed: policy.Listed{Stage: stage}}})
+}
+
+// want picks and checks the verdict.
+func (s *story) want(e *Errand, v Verdict) Choice {
+	s.Helper()
+	c := e.Pick()
+	if c.Verdict != v {
+		s.Fatalf("verdict %v, want %v", c.Verdict, v)
+	}
+	return c
+}
+
+func (s *story) admit(lane, plan int, patience time.Duration) *Errand {
+	return s.g.Admit(Task{Lane: lane, Plan: plan, Customer: 5, Units: 2, Width: 1, Patience: patience})
+}
+
+func TestCheckedThenPushedThenChargedWithTheNext(t *testing.T) {
+	s := begin(t)
+	e := s.admit(0, 0, time.Second)
+	c := <-s.calls
+	c.told(0, policy.Answered)
+	if got := s.want(e, Push); got.Server.Dial != "here" || time.Until(got.Until) > time.Second || got.Wanted.Err() != nil {
+		t.Errorf("picked %+v", got)
+	}
+	e.Report(Result{Outcome: policy.Answered, Billed: 5})
+	for s.admit(0, 0, time.Second); ; { // a new window may be opened first
+		if c = <-s.calls; c.units == 5 {
+			return
+		}
+	}
+}
+
+func TestOverTheLimitIsRejectedWithATimeToComeBack(t *testing.T) {
+	s := begin(t)
+	e := s.admit(0, 1, time.Second)
+	(<-s.calls).told(50, policy.Answered)
+	if got := s.want(e, Reject); got.Away <= 0 {
+		t.Errorf("rejected without a time: %v", got.Away)
+	}
+}
+
+func TestSilentCounterHoldsNobodyUp(t *testing.T) {
+	for _, withdrawn := range []bool{false, true} {
+		s := begin(t)
+		s.withdrawn = withdrawn
+		e := s.admit(0, 0, 10*time.Second)
+		c := <-s.calls
+		s.want(e, Push)
+		next := s.admit(0, 0, 10*time.Second)
+		c2 := <-s.calls
+		c.told(1e6, policy.Answered) // too late: taken for the next task's, it would have that rejected
+		c2.told(0, policy.Answered)
+		s.want(next, Push)
+	}
+}
+
+func TestNoAnswerInPatienceGivesThePushUpAndEndsTheTask(t *testing.T) {
+	for lane, v := range []Verdict{Reject, Terminate} {
+		s := begin(t)
+		e := s.admit(lane, 0, 150*time.Millisecond)
+		(<-s.calls).told(0, policy.Answered)
+		push := s.want(e, Push)
+		<-push.Wanted.Done()
+		e.Report(Result{Outcome: policy.Cancelled})
+		s.want(e, v)
+	}
+}
+
+func TestClientThatLeftIsOwedNothing(t *testing.T) {
+	s := begin(t)
+	e := s.admit(0, 0, time.Second)
+	(<-s.calls).told(0, policy.Answered)
+	s.want(e, Push)
+	e.Gone()
+	e.Gone() // told twice, it stays gone
+	e.Report(Result{Outcome: policy.Reset})
+	s.want(e, Left)
+	if n := len(s.g.errands); n != 0 {
+		t.Errorf("%d errands held", n)
+	}
+}
+
+func TestDrainedServerGetsNothingNew(t *testing.T) {
+	s := begin(t)
+	s.list(policy.ListChanges, policy.Draining)
+	e := s.admit(0, 0, 400*time.Millisecond)
+	(<-s.calls).told(0, policy.Answered)
+	s.want(e, Reject)
+}
+
+func TestEndedTasksLeaveNoWakes(t *testing.T) {
+	s := begin(t)
+	e := s.admit(0, 0, time.Hour)
+	(<-s.calls).told(0, policy.Answered)
+	s.want(e, Push)
+	e.Report(Result{Outcome: policy.Answered})
+	s.g.mu.Lock()
+	defer s.g.mu.Unlock()
+	if len(s.g.wakes) != 0 || len(s.g.asked) != 0 {
+		t.Errorf("%d wakes left", len(s.g.wakes))
+	}
+}
+
+func TestFailedListIsAskedForAgain(t *testing.T) {
+	s := begin(t)
+	s.g.List(policy.ListFailed, nil)
+	<-s.g.Wanted()
+	e := s.admit(0, 0, time.Second)
+	(<-s.calls).told(0, policy.Answered)
+	s.want(e, Push) // the earlier list stands
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,89 @@
+package roster
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/boot"
+	"harrierhoist/internal/gate"
+	"harrierhoist/internal/standin"
+	"harrierhoist/policy"
+)
+
+func begin(t *testing.T, discovery, known string) (*Roster, error) {
+	t.Helper()
+	site := policy.Deployment{Gateways: 1, Tick: time.Millisecond, Lanes: []policy.Lane{{}}, Plans: []policy.Plan{{}}}
+	g, err := gate.New(site, 1, gate.Outside{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go g.Tick(ctx)
+	told := &boot.Handed{Discovery: discovery, Halls: []string{"hall-a", "hall-b"}, Kinds: []string{"m1", "m2"},
+		Known: []byte(known)}
+	r, err := New(told, g, zap.NewNop())
+	if err == nil {
+		go r.Watch(ctx)
+	}
+	return r, err
+}
+
+func TestEntriesAreRead(t *testing.T) {
+	r := &Roster{halls: []string{"a", "hall-a"}, kinds: []string{"m1", "m2"}}
+	l, err := r.decode([]byte(standin.List(41, true, standin.Host("s-1", "1.2.3.4:5", "in_service"),
+		standin.Host("s-2", "x", "terminating"), standin.Host("s-3", "x", "terminated"),
+		strings.Replace(standin.Host("s-4", "x", "in_service"), `"born_ms":0`, `"born_ms":1796126169357`, 1))))
+	if err != nil || l.seq != 41 || !l.whole || len(l.servers) != 4 {
+		t.Fatalf("got %+v, %v", l, err)
+	}
+	if s := l.servers[0]; s.Name != "s-1" || s.Dial != "1.2.3.4:5" || s.Listed != (policy.Listed{Stage: policy.Ready,
+		Power: 1, Cell: 1, Hall: 1, Kind: 1}) {
+		t.Errorf("got %+v", s)
+	}
+	if l.servers[1].Listed.Stage != policy.Draining || l.servers[2].Listed.Stage != policy.Gone ||
+		l.servers[3].Listed.Since != 1796126169357*time.Millisecond {
+		t.Errorf("got %+v", l.servers[1:])
+	}
+}
+
+func TestWatchGoesOnFromTheLatestVersion(t *testing.T) {
+	d := standin.NewDiscovery(t, standin.Host("s-1", "x", "in_service"))
+	if _, err := begin(t, d.Addr, "null"); err != nil {
+		t.Fatal(err)
+	}
+	if q := <-d.Queries; q != "" {
+		t.Errorf("asked first with %q", q)
+	}
+	if q := <-d.Queries; !strings.HasPrefix(q, "since=1&timeout_ms=") {
+		t.Errorf("went on with %q", q)
+	}
+	d.Tell(false, standin.Host("s-1", "x", "terminating"))
+	if q := <-d.Queries; !strings.HasPrefix(q, "since=2&") {
+		t.Errorf("went on with %q", q)
+	}
+}
+
+func TestDiscoveryThatIsNotThereIsAskedAgain(t *testing.T) {
+	l := standin.Listen(t)
+	if _, err := begin(t, l.Addr().String(), standin.List(1, true)); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
+
+func TestKnownThatIsNoListIsSaid(t *testing.T) {
+	if _, err := begin(t, "x", `{"hosts":7}`); err == nil || !strings.Contains(err.Error(), "known") {
+		t.Errorf("got %v", err)
+	}
+}
