--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# What a maintainer does most. `bash .ci/run` does what CI does.
+.PHONY: build test race lint run clean
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+race:
+	GOFLAGS=-race go test -count=1 ./...
+
+lint:
+	@test -z "$$(gofmt -l policy internal cmd)" || { gofmt -l policy internal cmd; exit 1; }
+	go vet ./...
+
+# RELAY_CONFIG names the file that a gateway is told everything in (README, Start).
+run: build
+	@test -n "$$RELAY_CONFIG" || { echo "RELAY_CONFIG names no configuration file" >&2; exit 1; }
+	exec bin/harrierhoist
+
+clean:
+	rm -rf bin
