--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,6 +37,7 @@
 	plans map[string]int
 	onOne int
 	ready atomic.Bool
+	work  chan work // to carriers that are free
 
 	places  chan struct{} // one a connection, and one for the next
 	crowded atomic.Bool   // the next waits for a place
@@ -56,7 +57,7 @@
 func New(site *policy.Deployment, g *gate.Gate, f *fleet.Fleet, onOne, most int, log *zap.Logger) *Front {
 	fr := &Front{gate: g, fleet: f, log: log, lanes: map[string]lane{}, plans: map[string]int{}, onOne: onOne,
 		places: make(chan struct{}, max(most, 1)), clients: map[*client]struct{}{},
-		served: make(chan struct{})}
+		served: make(chan struct{}), work: make(chan work)}
 	for i, l := range site.Lanes {
 		fr.lanes[l.Name] = lane{i, l.Effect == policy.Pure}
 	}
@@ -190,7 +191,7 @@
 			cmd.Body.Free()
 			go c.answer(turn, func() error { return c.conn.WriteLine(line) })
 		} else {
-			go c.carry(turn, c.admit(t), e)
+			c.front.hand(work{c, turn, c.admit(t), e})
 		}
 	}
 }
@@ -204,14 +205,38 @@
 	return e
 }
 
+// work is a task for a carrier.
+type work struct {
+	client *client
+	turn   uint
+	errand *gate.Errand
+	what   *fleet.Errand
+}
+
+// hand gives a task to a carrier that is free, or else to a new one. Carriers stay: the stack of a goroutine
+// grows to what a task needs once, not with each task. There are as many as there were ever tasks at once.
+func (f *Front) hand(w work) {
+	select {
+	case f.work <- w:
+	default:
+		go func() {
+			w.carry()
+			for w := range f.work {
+				w.carry()
+			}
+		}()
+	}
+}
+
 // carry takes a task through its stages to its answer.
-func (c *client) carry(turn uint, e *gate.Errand, what *fleet.Errand) {
-	write := c.do(e, what)
-	what.Body.Free()
+func (w work) carry() {
+	c := w.client
+	write := c.do(w.errand, w.what)
+	w.what.Body.Free()
 	c.mu.Lock()
-	delete(c.out, e)
+	delete(c.out, w.errand)
 	c.mu.Unlock()
-	c.answer(turn, write)
+	c.answer(w.turn, write)
 }
 
 // do carries a task and gives what writes its answer.
