--- a/cmd/harrierhoist/main.go
+++ b/cmd/harrierhoist/main.go
@@ -25,7 +25,6 @@
 const (
 	socketsApart = 64 // of the limit: the listener, the counter, discovery, what the runtime holds, and spare
 	heapPart     = 2  // the part of the memory limit that the heap may grow to before it is swept harder
-	heapGrowth   = 400
 )
 
 func main() {
@@ -103,7 +102,6 @@
 	if told.Cores > 0 {
 		runtime.GOMAXPROCS(max(int(told.Cores), 1))
 	}
-	debug.SetGCPercent(heapGrowth)
 	if told.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(told.MemoryMB) << 20 / heapPart)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -92,6 +92,7 @@
 	effect                 Effect
 	group                  Group
 	took                   last[time.Duration] // answer times
+	sorted                 []time.Duration     // the same in order
 }
 
 // Gateway is one instance.
@@ -796,14 +797,12 @@
 // silence is how long a push may have no answer before it counts as lost.
 func (r *row) silence() time.Duration { return max(silentTimes*r.decile(9), silentLeast) }
 
-// decile works out a decile of a lane's answer times; 0 before any came.
+// decile is a decile of a lane's answer times; 0 before any came.
 func (r *row) decile(tenth int) time.Duration {
-	if len(r.took.items) == 0 {
+	if len(r.sorted) == 0 {
 		return 0
 	}
-	sorted := slices.Clone(r.took.items)
-	slices.Sort(sorted)
-	return sorted[len(sorted)*tenth/10]
+	return r.sorted[len(r.sorted)*tenth/10]
 }
 
 // seek seats a task, lets it wait for a server, or says that none can be had in time.
@@ -936,6 +935,7 @@
 		f.took.add(samplesRate, spent{f.now + soft, 1})
 	case Answered:
 		n.job.row.took.add(samplesMany, n.push.Took)
+		n.job.row.sorted = slices.Sorted(slices.Values(n.job.row.took.items))
 		f.took.add(samplesRate, spent{f.now - n.push.Took + 2*soft, float64(n.push.Took) / float64(soft)})
 		kind := f.kinds[s.Kind]
 		kind.add(samplesMany, n.push.Took)
