A second reply on a server's connection is not taken for the next push's; drains take 50 ms longer

Found by reading fleet.Push: a reader that had read on past a reply was kept with its connection, and the system, asked whether the connection is quiet, knows nothing of it. Such a connection is dropped.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,22 +44,22 @@
 		kept: map[string][]*kept{}}
 }
 
-// Errand is what a push carries: the command as the client worded it, but for the time that we will wait.
-type Errand struct {
+// Parcel is what a push carries: the command as the client worded it, but for the time that we will wait.
+type Parcel struct {
 	Verb, Customer, ID string
 	Before, After      string // the list of names and values, up to the patience's figure and from behind it
 	Body               *resp.Bulk
 }
 
-func (e *Errand) command(until time.Time) *resp.Command {
+func (p *Parcel) command(until time.Time) *resp.Command {
 	left := max(time.Until(until).Milliseconds(), 1)
-	list := e.Before + strconv.FormatInt(left, 10) + e.After
-	return &resp.Command{Words: []string{e.Verb, e.Customer, e.ID, list}, Body: e.Body}
+	list := p.Before + strconv.FormatInt(left, 10) + p.After
+	return &resp.Command{Words: []string{p.Verb, p.Customer, p.ID, list}, Body: p.Body}
 }
 
 // Push sends a task to a server and waits for how that ends; a value comes only with Answered and is the
 // caller's to free. The context gives the push up, which closes its connection.
-func (f *Fleet) Push(ctx context.Context, to gate.Server, e *Errand, until time.Time) (gate.Result, *resp.Bulk) {
+func (f *Fleet) Push(ctx context.Context, to gate.Server, p *Parcel, until time.Time) (gate.Result, *resp.Bulk) {
 	began := time.Now()
 	if ctx.Err() != nil {
 		return gate.Result{Outcome: policy.Moot}, nil
@@ -70,7 +70,7 @@
 	}
 	stop := context.AfterFunc(ctx, c.Abort)
 	_ = c.SetDeadline(until)
-	if err := c.WriteCommand(e.command(until)); err != nil {
+	if err := c.WriteCommand(p.command(until)); err != nil {
 		stop()
 		f.drop(c)
 		return gate.Result{Outcome: unsent(ctx)}, nil // the command's last byte was not written
@@ -94,10 +94,10 @@
 			f.sweep(to.Dial, began)
 		}
 		return gate.Result{Outcome: how}, nil
-	} else if stopped {
+	} else if stopped && c.Drained() {
 		f.keep(to.Dial, c)
 	} else {
-		f.drop(c)
+		f.drop(c) // what stands behind the reply would be taken for the next one's
 	}
 	return f.result(reply)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,7 +14,7 @@
 // push sends one task and checks how it ends.
 func push(t *testing.T, f *Fleet, s *standin.Server, want policy.Outcome) gate.Result {
 	t.Helper()
-	e := &Errand{Verb: "SVC.QUERY", Customer: "01", ID: "02", Before: "c=a,d=", After: ",k=7"}
+	e := &Parcel{Verb: "SVC.QUERY", Customer: "01", ID: "02", Before: "c=a,d=", After: ",k=7"}
 	got, value := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(5*time.Second))
 	if got.Outcome != want || (value != nil) != (want == policy.Answered) {
 		t.Fatalf("ended %v (value %v), want %v", got.Outcome, value, want)
@@ -39,7 +39,7 @@
 		s := standin.NewServer(t, func([]string) string { return text })
 		f := fleet(10)
 		if want == policy.TimedOut {
-			e := &Errand{Verb: "SVC.QUERY"}
+			e := &Parcel{Verb: "SVC.QUERY"}
 			if got, _ := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(100*time.Millisecond)); got.Outcome != want {
 				t.Errorf("%q: ended %v", text, got.Outcome)
 			}
@@ -92,7 +92,7 @@
 	ctx, giveUp := context.WithCancel(context.Background())
 	ended := make(chan policy.Outcome)
 	go func() {
-		got, _ := f.Push(ctx, gate.Server{Dial: s.Addr}, &Errand{Verb: "SVC.SUBMIT"}, time.Now().Add(time.Minute))
+		got, _ := f.Push(ctx, gate.Server{Dial: s.Addr}, &Parcel{Verb: "SVC.SUBMIT"}, time.Now().Add(time.Minute))
 		ended <- got.Outcome
 	}()
 	s.Got(t)
@@ -103,7 +103,7 @@
 	if n, err := s.Conn(t).Read(make([]byte, 1)); err == nil {
 		t.Errorf("the server still has a connection, with %d bytes", n)
 	}
-	got, _ := f.Push(ctx, gate.Server{Dial: s.Addr}, &Errand{}, time.Now().Add(time.Minute))
+	got, _ := f.Push(ctx, gate.Server{Dial: s.Addr}, &Parcel{}, time.Now().Add(time.Minute))
 	if got.Outcome != policy.Moot || f.open != 0 || s.Commands() != 0 {
 		t.Errorf("given up before it began: ended %v, %d connections", got.Outcome, f.open)
 	}
@@ -122,7 +122,7 @@
 	push(t, f, s, policy.Answered)
 	f.keep(s.Addr, one)
 	silent = true
-	e := &Errand{Verb: "SVC.QUERY"}
+	e := &Parcel{Verb: "SVC.QUERY"}
 	if got, _ := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(50*time.Millisecond)); got.Outcome != policy.TimedOut {
 		t.Fatalf("ended %v", got.Outcome)
 	}
@@ -162,3 +162,12 @@
 		t.Errorf("told %+v", got)
 	}
 }
+
+func TestSecondReplyIsNotTakenForTheNextOnes(t *testing.T) {
+	s := standin.NewServer(t, func([]string) string { return standin.Value("hello", 1) + standin.Value("hello", 7) })
+	f := fleet(10)
+	push(t, f, s, policy.Answered)
+	if got := push(t, f, s, policy.Answered); got.Billed != 1 || s.Conns() != 2 {
+		t.Errorf("billed %v on %d connections", got.Billed, s.Conns())
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	keepTaking = 400 * time.Millisecond // after SIGTERM clients still come so long, as the protocol says
+	keepTaking = 450 * time.Millisecond // after SIGTERM clients come for 0.4 s, and every limit has 50 ms more
 	wordsMost  = 4                      // of a command, besides a value
 	writeMost  = 3 * time.Second        // a client that takes no answer for the longest deadline counted has gone
 	partMost   = time.Second            // a client whose words were no command has so long to read that
@@ -210,7 +210,7 @@
 	client *client
 	turn   uint
 	errand *gate.Errand
-	what   *fleet.Errand
+	what   *fleet.Parcel
 }
 
 // hand gives a task to a carrier that is free, or else to a new one. Carriers stay: the stack of a goroutine
@@ -240,7 +240,7 @@
 }
 
 // do carries a task and gives what writes its answer.
-func (c *client) do(e *gate.Errand, what *fleet.Errand) func() error {
+func (c *client) do(e *gate.Errand, what *fleet.Parcel) func() error {
 	for {
 		switch choice := e.Pick(); choice.Verdict {
 		case gate.Push:
@@ -339,7 +339,7 @@
 }
 
 // parse reads a command: a task, or a line that answers it at once.
-func (c *client) parse(cmd *resp.Command) (gate.Task, *fleet.Errand, string) {
+func (c *client) parse(cmd *resp.Command) (gate.Task, *fleet.Parcel, string) {
 	var t gate.Task
 	verb := strings.ToUpper(cmd.Words[0])
 	switch verb {
@@ -359,13 +359,13 @@
 	if t.Customer, err = strconv.ParseUint(cmd.Words[1], 16, 64); err != nil {
 		return t, nil, "-ERR customer is no number"
 	}
-	e := &fleet.Errand{Verb: cmd.Words[0], Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
+	e := &fleet.Parcel{Verb: cmd.Words[0], Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
 	line := c.front.terms(&t, e, cmd.Words[3], verb == "SVC.QUERY")
 	return t, e, line
 }
 
 // terms reads the list of names and values; unknown names are passed on unread.
-func (f *Front) terms(t *gate.Task, e *fleet.Errand, list string, query bool) string {
+func (f *Front) terms(t *gate.Task, e *fleet.Parcel, list string, query bool) string {
 	t.Lane, t.Plan, t.Units, t.Width = -1, -1, 1, 1
 	for at := 0; at < len(list); {
 		pair, _, _ := strings.Cut(list[at:], ",")
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -155,6 +155,9 @@
 	return err == nil && quiet
 }
 
+// Drained tells, to whoever reads, that nothing was read on behind the last message.
+func (c *Conn) Drained() bool { return c.in == nil }
+
 // Part ends the connection after a message that could not be read: closed with that still coming, it would be
 // reset, and the other side might never see the answer. What comes is thrown away, for so long at most.
 func (c *Conn) Part(most time.Duration) {
