A connection is not closed as idle while a command is being read from it

Found by reading: between the first byte of a command and its last a connection counted as idle, so a drain or a crowded front could close it with a command half read. It counts as busy from the first byte.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -166,7 +166,7 @@
 func (c *client) read() {
 	defer c.end()
 	for {
-		if c.conn.Await() != nil {
+		if c.conn.Await() != nil || !c.begin() {
 			return
 		}
 		c.turns <- struct{}{}
@@ -175,12 +175,6 @@
 		if err != nil && !errors.As(err, &bad) {
 			return
 		}
-		if !c.begin() {
-			if cmd != nil {
-				cmd.Body.Free()
-			}
-			return
-		}
 		turn := c.order.Next()
 		if err != nil {
 			c.answer(turn, func() error { return c.conn.WriteLine("-ERR " + bad.Error()) })
@@ -296,8 +290,8 @@
 	return c.used, c.busy == 0 && !c.over
 }
 
-// leave closes the connection if it is idle. What has come and was not read yet is to be read and answered;
-// what is read from here on is not taken any more, as the client sends it again elsewhere.
+// leave closes the connection if it is idle. What has come and was not read yet is to be read and answered. As
+// the reader takes one byte of a command before it says begin, the rest still stands in the system until then.
 func (c *client) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -307,7 +301,7 @@
 	}
 }
 
-// begin counts a command that was read, unless the connection was given up meanwhile.
+// begin counts a command whose first byte has come, unless the connection was given up meanwhile.
 func (c *client) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
