Tasks that waited before they were read have less patience left; idle connections end by a reset

Probes that logged each end of a connection showed three causes. (1) Accepting waited for a place, and a task that stood in the backlog got its whole patience from when it was read: answers came to clients that had gone. The system tells when the latest bytes came (Conn.Age); what they waited is off the patience. It also covers a process that stood still. (2) Where places are few, only those who have just connected are idle, and place() closed these on their first task; they count as idle after 250 ms only. A connection also made room before anybody had come.

--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -158,7 +158,7 @@
 // closed wants no more than the end of the connection.
 func (c *client) closed() {
 	c.Helper()
-	if rest, err := io.ReadAll(c.in); len(rest) > 0 || os.IsTimeout(err) {
+	if rest, err := io.ReadAll(c.in); len(rest) > 0 || os.IsTimeout(err) { // a reset is an end as well
 		c.Fatalf("%q, %v instead of the end", rest, err)
 	}
 }
@@ -320,6 +320,21 @@
 	}
 }
 
+func TestTimeSpentStandingStillIsOffThePatience(t *testing.T) {
+	w := begin(t, 1024, hello)
+	c, patient := w.dial(), w.dial()
+	_ = w.cmd.Process.Signal(syscall.SIGSTOP)
+	c.send(look("c=look,t=wide,d=100"))
+	patient.send(look("c=look,t=wide,d=9000"))
+	time.Sleep(300 * time.Millisecond)
+	_ = w.cmd.Process.Signal(syscall.SIGCONT)
+	c.want("-ERR deadline passed")
+	patient.want("hello")
+	if got := w.server.Got(t); regexp.MustCompile("d=8[0-7]").FindString(got[3]) == "" {
+		t.Errorf("passed on with %s", got[3])
+	}
+}
+
 func TestMoreClientsThanPlaces(t *testing.T) {
 	w := begin(t, 80, hello) // eight places
 	var idle []*client
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,6 +25,7 @@
 	keepTaking = 450 * time.Millisecond // after SIGTERM clients come for 0.4 s, and every limit has 50 ms more
 	wordsMost  = 4                      // of a command, besides a value
 	writeMost  = 3 * time.Second        // a client that takes no answer for the longest deadline counted has gone
+	freshMost  = 250 * time.Millisecond // who has just connected is about to send; after this it is idle like others
 	partMost   = time.Second            // a client whose words were no command has so long to read that
 )
 
@@ -39,8 +40,8 @@
 	ready atomic.Bool
 	work  chan work // to carriers that are free
 
-	places  chan struct{} // one a connection, and one for the next
-	crowded atomic.Bool   // the next waits for a place
+	places  chan struct{} // one a connection; one more may have come and wait
+	crowded atomic.Bool   // it does wait
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	closing bool
@@ -74,10 +75,8 @@
 func (f *Front) Serve(l net.Listener) error {
 	defer close(f.served)
 	for {
-		f.place()
 		conn, err := l.Accept()
 		if err != nil {
-			<-f.places
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -85,21 +84,19 @@
 			time.Sleep(time.Millisecond) // lack of descriptors passes, and must not spin
 			continue
 		}
+		f.place()
 		c := &client{front: f, conn: resp.NewConn(conn), turns: make(chan struct{}, f.onOne),
-			out: map[*gate.Errand]struct{}{}, used: time.Now()}
+			out: map[*gate.Errand]struct{}{}, used: time.Now(), fresh: true}
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
-		late := f.closing
 		f.mu.Unlock()
 		f.gone.Add(1)
 		go c.read()
-		if late {
-			c.leave()
-		}
 	}
 }
 
-// place takes a place for the next connection; where none is free, the client idle longest loses its own.
+// place takes a place for a connection that has come; where none is free, the client idle longest loses its own.
+// It is not asked before: each connection that closes may cross a task on its way.
 func (f *Front) place() {
 	select {
 	case f.places <- struct{}{}:
@@ -130,18 +127,22 @@
 	_ = l.Close()
 	f.mu.Lock()
 	f.closing = true
-	var all []*client
-	for c := range f.clients {
-		all = append(all, c)
-	}
 	f.mu.Unlock()
-	for _, c := range all {
-		c.leave()
-	}
+	f.clear()
+	time.AfterFunc(freshMost, f.clear) // those that had just connected and sent nothing
 	<-f.served
 	f.gone.Wait()
 }
 
+// clear closes the connections that are idle.
+func (f *Front) clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.clients {
+		c.leave()
+	}
+}
+
 func (f *Front) isClosing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,11 +156,12 @@
 	turns chan struct{}      // one a task in hand: bounds them
 	order textproto.Pipeline // answers go in the order of their tasks
 
-	mu   sync.Mutex
-	out  map[*gate.Errand]struct{}
-	busy int // commands in hand
-	used time.Time
-	over bool // the connection has ended
+	mu    sync.Mutex
+	out   map[*gate.Errand]struct{}
+	busy  int       // commands in hand
+	used  time.Time // when it came, or was last answered
+	fresh bool      // nothing was answered yet
+	over  bool      // the connection has ended
 }
 
 // read reads commands until the client goes, which it sees also while tasks are out. It owns the connection.
@@ -274,7 +276,7 @@
 	<-c.turns
 	c.mu.Lock()
 	c.busy--
-	c.used = time.Now()
+	c.used, c.fresh = time.Now(), false
 	c.mu.Unlock()
 	if err != nil {
 		_ = c.conn.Close()
@@ -283,21 +285,27 @@
 	}
 }
 
-// idle tells since when the connection has had nothing in hand, if it has none.
+// idle tells since when the connection has been idle, if it is: closed then, it costs its client nothing but a
+// new one. Who has just connected has sent a task, or is about to; closed on, it would take that for lost.
 func (c *client) idle() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, c.busy == 0 && !c.over
+	return c.used, c.isIdle()
 }
 
-// leave closes the connection if it is idle. What has come and was not read yet is to be read and answered. As
-// the reader takes one byte of a command before it says begin, the rest still stands in the system until then.
+func (c *client) isIdle() bool {
+	return c.busy == 0 && !c.over && (!c.fresh || time.Since(c.used) >= freshMost)
+}
+
+// leave ends the connection if it is idle. What has come and was not read yet is to be read and answered; as the
+// reader takes one byte of a command before it says begin, the rest still stands in the system until then. What
+// crosses the end is not taken: the client can tell, and sends it again elsewhere.
 func (c *client) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy == 0 && !c.over && c.conn.Quiet() {
+	if c.isIdle() && c.conn.Quiet() {
 		c.over = true
-		_ = c.conn.Close()
+		c.conn.Break()
 	}
 }
 
@@ -332,6 +340,8 @@
 	f.gone.Done()
 }
 
+const late = "-ERR deadline passed"
+
 // parse reads a command: a task, or a line that answers it at once.
 func (c *client) parse(cmd *resp.Command) (gate.Task, *fleet.Parcel, string) {
 	var t gate.Task
@@ -355,6 +365,11 @@
 	}
 	e := &fleet.Parcel{Verb: cmd.Words[0], Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
 	line := c.front.terms(&t, e, cmd.Words[3], verb == "SVC.QUERY")
+	// The patience counts from the sending. What waited in the system, for a place or while we stood still, is
+	// off it; without that, an answer would come to a client that has gone.
+	if t.Patience -= c.conn.Age(); line == "" && t.Patience <= 0 {
+		line = late
+	}
 	return t, e, line
 }
 
@@ -381,7 +396,7 @@
 		case "d":
 			var ms float64
 			if ms, err = strconv.ParseFloat(value, 64); err == nil && !(ms > 0 && ms < math.MaxInt32) {
-				return "-ERR deadline passed"
+				return late
 			}
 			t.Patience = time.Duration(ms * float64(time.Millisecond))
 			e.Before, e.After = list[:at+len("d=")], list[at+len(pair):]
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -138,21 +140,34 @@
 
 // Quiet tells, without waiting, that the connection stands and nothing has come on it that was not read.
 func (c *Conn) Quiet() bool {
-	sock, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sock.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var peek [1]byte
 	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		_, _, got := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = got == syscall.EAGAIN
+	c.control(func(fd int) {
+		var peek [1]byte
+		_, _, err := unix.Recvfrom(fd, peek[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+	})
+	return quiet
+}
+
+// Age is how long ago the latest bytes came to this machine, to a few milliseconds: they may have waited for a
+// place, or while this process stood still.
+func (c *Conn) Age() time.Duration {
+	age := time.Duration(0)
+	c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
 	})
-	return err == nil && quiet
+	return age
+}
+
+// control lends the descriptor, if the connection has one and is open.
+func (c *Conn) control(use func(fd int)) {
+	if sock, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := sock.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+		}
+	}
 }
 
 // Drained tells, to whoever reads, that nothing was read on behind the last message.
@@ -174,6 +189,15 @@
 	_ = c.Close()
 }
 
+// Break closes the connection by a reset: what crosses that was not read, and the other side can tell. Closed in
+// order, the system would confirm what still comes in that moment, as if it had been read.
+func (c *Conn) Break() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Abort makes whoever reads or writes stop at once.
 func (c *Conn) Abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"harrierhoist/internal/standin"
 )
@@ -134,6 +136,23 @@
 	}
 }
 
+func TestBytesAgeWhileNobodyReads(t *testing.T) {
+	c, far := pair(t)
+	_, _ = io.WriteString(far, "x")
+	standin.Eventually(t, "the age", func() bool { return c.Age() >= 50*time.Millisecond })
+	if _, err := c.Read(make([]byte, 1)); err != nil || c.Age() < 50*time.Millisecond {
+		t.Errorf("reading made them %v old (%v)", c.Age(), err)
+	}
+}
+
+func TestBrokenConnectionSaysThatNothingWasRead(t *testing.T) {
+	c, far := pair(t)
+	c.Break()
+	if _, err := far.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the other side sees %v", err)
+	}
+}
+
 func TestQuietSeesWhatCameAndWhoLeft(t *testing.T) {
 	c, far := pair(t)
 	if !c.Quiet() {
