--- a/cmd/harrierhoist/main.go
+++ b/cmd/harrierhoist/main.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	socketsApart = 64 // of the limit: the listener, the counter, discovery, what the runtime holds, and spare
+	socketsApart = 24 // of the limit: some 16 for listener, log, counter, discovery and the runtime, and spare
 	heapPart     = 2  // the part of the memory limit that the heap may grow to before it is swept harder
 )
 
--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -336,7 +336,7 @@
 }
 
 func TestMoreClientsThanPlaces(t *testing.T) {
-	w := begin(t, 80, hello) // eight places
+	w := begin(t, 40, hello) // eight places
 	var idle []*client
 	for range 30 {
 		c := w.dial()
