Clients that say nothing, or half a command, no longer shut others out

Found by reading front.place: it looked for an idle connection once, when places ran out, and then waited for one to be given back; connections that had just come and stayed mum never were. It looks again every 250 ms. A command must come whole within three seconds of its first byte, the longest deadline that the protocol counts. The story fails without both (the ninth client waits for ever).

--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -347,6 +347,20 @@
 	idle[0].closed() // it stood idle longest
 }
 
+func TestThoseWhoSayNothingOrHalfShutNobodyOut(t *testing.T) {
+	w := begin(t, 40, hello) // eight places
+	for i := range 9 {
+		if c := w.dial(); i%2 == 0 {
+			c.send("*4\r\n$9\r\nSVC.Q")
+		}
+	}
+	for range 8 {
+		c := w.dial()
+		c.send(look("c=look,t=wide,d=9000"))
+		c.want("hello")
+	}
+}
+
 func TestAskedToEndItTakesOnForAWhileAndAnswersWhatItHolds(t *testing.T) {
 	let := make(chan bool)
 	w := begin(t, 1024, func(words []string) string {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,7 +24,7 @@
 const (
 	keepTaking = 450 * time.Millisecond // after SIGTERM clients come for 0.4 s, and every limit has 50 ms more
 	wordsMost  = 4                      // of a command, besides a value
-	writeMost  = 3 * time.Second        // a client that takes no answer for the longest deadline counted has gone
+	talkMost   = 3 * time.Second        // the longest deadline counted: who takes longer over a command or answer has gone
 	freshMost  = 250 * time.Millisecond // who has just connected is about to send; after this it is idle like others
 	partMost   = time.Second            // a client whose words were no command has so long to read that
 )
@@ -103,7 +103,22 @@
 		return
 	default:
 	}
+	f.crowded.Store(true) // whoever becomes idle leaves
+	defer f.crowded.Store(false)
+	for {
+		f.evict()
+		select {
+		case f.places <- struct{}{}:
+			return
+		case <-time.After(freshMost): // who had just connected and stays mum is idle now
+		}
+	}
+}
+
+// evict ends the connection that has been idle longest.
+func (f *Front) evict() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	var oldest *client
 	since := time.Now()
 	for c := range f.clients {
@@ -111,13 +126,9 @@
 			oldest, since = c, used
 		}
 	}
-	f.mu.Unlock()
-	f.crowded.Store(true) // whoever becomes idle leaves
 	if oldest != nil {
 		oldest.leave()
 	}
-	f.places <- struct{}{}
-	f.crowded.Store(false)
 }
 
 // Drain keeps taking for a while, then takes no new connections, closes those that are idle, and waits until
@@ -172,7 +183,9 @@
 			return
 		}
 		c.turns <- struct{}{}
+		_ = c.conn.SetReadDeadline(time.Now().Add(talkMost))
 		cmd, err := c.conn.ReadCommand(wordsMost)
+		_ = c.conn.SetReadDeadline(time.Time{})
 		var bad resp.BadMessage
 		if err != nil && !errors.As(err, &bad) {
 			return
@@ -270,7 +283,7 @@
 // client, the last one ends the connection.
 func (c *client) answer(turn uint, write func() error) {
 	c.order.StartResponse(turn)
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeMost))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(talkMost))
 	err := write()
 	c.order.EndResponse(turn)
 	<-c.turns
