--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 # RELAY_CONFIG names the file that a gateway is told everything in (README, Start).
 run: build
 	@test -n "$$RELAY_CONFIG" || { echo "RELAY_CONFIG names no configuration file" >&2; exit 1; }
-	exec bin/harrierhoist
+	GODEBUG=schedtrace=2147483647 exec bin/harrierhoist
 
 clean:
 	rm -rf bin
