Fleet: a push and a probe share one exchange; giving up is not undone by the deadline

Found in a last read: a push given up between Abort being set and its deadline being set waited for its whole patience; a probe kept its connection whatever stood behind the reply.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,19 +68,15 @@
 	if err != nil {
 		return gate.Result{Outcome: unsent(ctx)}, nil
 	}
-	stop := context.AfterFunc(ctx, c.Abort)
 	_ = c.SetDeadline(until)
-	if err := c.WriteCommand(p.command(until)); err != nil {
-		stop()
+	stop := context.AfterFunc(ctx, c.Abort) // after the deadline is set, which would undo it
+	reply, whole, err := exchange(c, p.command(until))
+	stopped := stop()
+	switch {
+	case !whole:
 		f.drop(c)
-		return gate.Result{Outcome: unsent(ctx)}, nil // the command's last byte was not written
-	}
-	err = c.Await()
-	var reply *resp.Reply
-	if err == nil {
-		reply, err = c.ReadReply()
-	}
-	if stopped := stop(); err != nil {
+		return gate.Result{Outcome: unsent(ctx)}, nil
+	case err != nil:
 		f.drop(c)
 		how := policy.Reset
 		if !stopped {
@@ -94,14 +90,25 @@
 			f.sweep(to.Dial, began)
 		}
 		return gate.Result{Outcome: how}, nil
-	} else if stopped && c.Drained() {
+	case stopped:
 		f.keep(to.Dial, c)
-	} else {
-		f.drop(c) // what stands behind the reply would be taken for the next one's
+	default: // given up as the reply came: it is good, but the connection is to be closed
+		f.drop(c)
 	}
 	return f.result(reply)
 }
 
+// exchange sends a command and waits for the reply. Whole tells whether the command's last byte was written.
+func exchange(c *kept, cmd *resp.Command) (reply *resp.Reply, whole bool, err error) {
+	if err = c.WriteCommand(cmd); err != nil {
+		return nil, false, err
+	}
+	if err = c.Await(); err == nil {
+		reply, err = c.ReadReply()
+	}
+	return reply, true, err
+}
+
 // unsent is the outcome of a push that never reached a server whole.
 func unsent(ctx context.Context) policy.Outcome {
 	if ctx.Err() != nil {
@@ -165,14 +172,7 @@
 		words = []string{"INFO", "load"}
 	}
 	_ = c.SetDeadline(until)
-	err = c.WriteCommand(&resp.Command{Words: words})
-	if err == nil {
-		err = c.Await()
-	}
-	var reply *resp.Reply
-	if err == nil {
-		reply, err = c.ReadReply()
-	}
+	reply, _, err := exchange(c, &resp.Command{Words: words})
 	if err != nil {
 		f.drop(c)
 		told(gate.Result{Outcome: policy.TimedOut})
@@ -264,8 +264,12 @@
 	f.release()
 }
 
-// keep makes a connection idle.
+// keep makes a connection idle, unless something stands behind the reply: it would be taken for the next one's.
 func (f *Fleet) keep(dial string, c *kept) {
+	if !c.Drained() {
+		f.drop(c)
+		return
+	}
 	c.used = time.Now()
 	f.mu.Lock()
 	f.kept[dial] = append(f.kept[dial], c)
