--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 # RELAY_CONFIG names the file that a gateway is told everything in (README, Start).
 run: build
 	@test -n "$$RELAY_CONFIG" || { echo "RELAY_CONFIG names no configuration file" >&2; exit 1; }
-	GODEBUG=schedtrace=2147483647 exec bin/harrierhoist
+	sh -c "$$(sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
 
 clean:
 	rm -rf bin
--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -376,13 +376,14 @@
 		t.Fatal(err)
 	}
 	standin.Eventually(t, "the signal", func() bool { return strings.Contains(w.log.String(), "asked to end") })
-	fresh := w.dial()
+	fresh, mum := w.dial(), w.dial()
 	for _, c := range []*client{idle, fresh} {
 		c.send(look("c=look,t=wide,d=4800"))
 		c.want("hello")
 	}
 	idle.closed()
 	fresh.closed()
+	mum.closed()
 	close(let)
 	held.want("hello")
 	held.closed()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,7 +44,7 @@
 	crowded atomic.Bool   // it does wait
 	mu      sync.Mutex
 	clients map[*client]struct{}
-	closing bool
+	closing atomic.Bool
 	served  chan struct{}  // closed once nothing more is accepted
 	gone    sync.WaitGroup // clients
 }
@@ -136,12 +136,10 @@
 func (f *Front) Drain(l net.Listener) {
 	time.Sleep(keepTaking)
 	_ = l.Close()
-	f.mu.Lock()
-	f.closing = true
-	f.mu.Unlock()
+	f.closing.Store(true)
 	f.clear()
-	time.AfterFunc(freshMost, f.clear) // those that had just connected and sent nothing
 	<-f.served
+	time.AfterFunc(freshMost, f.clear) // those that had just connected and sent nothing
 	f.gone.Wait()
 }
 
@@ -154,12 +152,6 @@
 	}
 }
 
-func (f *Front) isClosing() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.closing
-}
-
 // client is one connection.
 type client struct {
 	front *Front
@@ -293,7 +285,7 @@
 	c.mu.Unlock()
 	if err != nil {
 		_ = c.conn.Close()
-	} else if c.front.crowded.Load() || c.front.isClosing() {
+	} else if c.front.crowded.Load() || c.front.closing.Load() {
 		c.leave()
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -150,15 +150,18 @@
 		}
 		now := g.enter()
 		g.due = 0
-		for len(g.calls) > 0 && (g.calls[0].over || g.calls[0].at+g.limit <= now) {
-			if c := g.calls[0]; !c.over {
-				how := policy.TimedOut
-				if c.withdraw() {
-					how = policy.NoConnect
-				}
-				g.counted(c, 0, how)
+		for _, c := range g.calls {
+			if c.at+g.limit > now {
+				break
 			}
-			g.calls = g.calls[1:]
+			if c.over {
+				continue
+			}
+			how := policy.TimedOut
+			if c.withdraw() {
+				how = policy.NoConnect
+			}
+			g.counted(c, 0, how)
 		}
 		for len(g.wakes) > 0 && g.wakes[0].at <= now {
 			w := heap.Pop(&g.wakes).(*wake)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -67,6 +67,14 @@
 	return s.g.Admit(Task{Lane: lane, Plan: plan, Customer: 5, Units: 2, Width: 1, Patience: patience})
 }
 
+// pushed brings a task as far as its push.
+func (s *story) pushed(lane int, patience time.Duration) (*Errand, Choice) {
+	s.Helper()
+	e := s.admit(lane, 0, patience)
+	(<-s.calls).told(0, policy.Answered)
+	return e, s.want(e, Push)
+}
+
 func TestCheckedThenPushedThenChargedWithTheNext(t *testing.T) {
 	s := begin(t)
 	e := s.admit(0, 0, time.Second)
@@ -110,9 +118,7 @@
 func TestNoAnswerInPatienceGivesThePushUpAndEndsTheTask(t *testing.T) {
 	for lane, v := range []Verdict{Reject, Terminate} {
 		s := begin(t)
-		e := s.admit(lane, 0, 150*time.Millisecond)
-		(<-s.calls).told(0, policy.Answered)
-		push := s.want(e, Push)
+		e, push := s.pushed(lane, 150*time.Millisecond)
 		<-push.Wanted.Done()
 		e.Report(Result{Outcome: policy.Cancelled})
 		s.want(e, v)
@@ -121,9 +127,7 @@
 
 func TestClientThatLeftIsOwedNothing(t *testing.T) {
 	s := begin(t)
-	e := s.admit(0, 0, time.Second)
-	(<-s.calls).told(0, policy.Answered)
-	s.want(e, Push)
+	e, _ := s.pushed(0, time.Second)
 	e.Gone()
 	e.Gone() // told twice, it stays gone
 	e.Report(Result{Outcome: policy.Reset})
@@ -143,9 +147,7 @@
 
 func TestEndedTasksLeaveNoWakes(t *testing.T) {
 	s := begin(t)
-	e := s.admit(0, 0, time.Hour)
-	(<-s.calls).told(0, policy.Answered)
-	s.want(e, Push)
+	e, _ := s.pushed(0, time.Hour)
 	e.Report(Result{Outcome: policy.Answered})
 	s.g.mu.Lock()
 	defer s.g.mu.Unlock()
@@ -158,7 +160,5 @@
 	s := begin(t)
 	s.g.List(policy.ListFailed, nil)
 	<-s.g.Wanted()
-	e := s.admit(0, 0, time.Second)
-	(<-s.calls).told(0, policy.Answered)
-	s.want(e, Push) // the earlier list stands
+	s.pushed(0, time.Second) // the earlier list stands
 }
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -93,12 +93,19 @@
 // Conn is one connection, used by one reader and one writer at a time.
 type Conn struct {
 	net.Conn
+	raw  syscall.RawConn // nil where there is no descriptor
 	wait [1]byte
 	in   *reader // nil while nothing is being read
 }
 
 // NewConn speaks RESP2 on a connection.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+func NewConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
+	if sock, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = sock.SyscallConn()
+	}
+	return c
+}
 
 // Await waits for the next message. The reader's buffer is taken from the pool when its first byte is there.
 func (c *Conn) Await() error {
@@ -163,10 +170,8 @@
 
 // control lends the descriptor, if the connection has one and is open.
 func (c *Conn) control(use func(fd int)) {
-	if sock, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := sock.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { use(int(fd)) })
-		}
+	if c.raw != nil {
+		_ = c.raw.Control(func(fd uintptr) { use(int(fd)) })
 	}
 }
 
@@ -264,26 +269,22 @@
 		return r, errors.Join(err, BadMessage("an empty line"))
 	}
 	r.Kind, r.Line = line[0], line[1:]
-	n := 1
+	n, size := 1, -1
 	switch r.Kind {
 	case '+', '-', ':':
 		return r, nil
+	case '$':
+		size, err = number(r.Line)
 	case '*':
-		if n, err = number(r.Line); err != nil || n < 1 {
-			return r, errors.Join(err, BadMessage("an array with no value"))
-		}
-		if r.Line, err = c.in.ReadLine(); err != nil {
-			return r, err
+		if n, err = number(r.Line); err == nil && n < 1 {
+			err = BadMessage("an array with no value")
 		}
-		if r.Line == "" || r.Line[0] != '$' {
-			return r, BadMessage("an array that begins with no value")
+		if err == nil {
+			size, err = c.header('$')
 		}
-		r.Line = r.Line[1:]
-	case '$':
 	default:
-		return r, BadMessage("an unknown kind of reply")
+		err = BadMessage("an unknown kind of reply")
 	}
-	size, err := number(r.Line)
 	if err == nil && size >= 0 {
 		r.Value, err = c.bulk(size)
 	}
@@ -361,7 +362,7 @@
 	return nil
 }
 
-// WriteCommand writes a command in one go if it fits a buffer. It tells whether its last byte was written.
+// WriteCommand writes a command in one go if it fits a buffer. An error means that its last byte was not.
 func (c *Conn) WriteCommand(cmd *Command) error {
 	return c.write(func(w *bufio.Writer) {
 		n := len(cmd.Words)
