SIGHUP moves to the counter and discovery that the new file names

Checked in the source: run() notified SIGTERM and SIGINT only (cmd/harrierhoist/main.go), the addresses were fixed at New (counter.go, line.addr; roster.go, base).

Now the file is read again; one that cannot be read is logged and the old one stays in force. The counter's calls out on the old connection get their answers there and the last closes it; new calls go to the new address. As two connections keep no order, the gate tells the module answers for a name in the order of the calls. The watch moves at once and starts with the whole list.

With it: a counter's line other than 'ok N', 'busy' and 'error' was told as 'nothing added' and its connection kept (answer()), and ReadLine had no bound. A spoilt answer now counts as perhaps added and ends the connection; a line longer than the reader's one buffer is spoilt. Covers any line; harm: other calls out on that connection lose their totals.

--- a/cmd/harrierhoist/main.go
+++ b/cmd/harrierhoist/main.go
@@ -35,7 +35,10 @@
 }
 
 func run() error {
-	told, err := boot.Read(os.Getenv("RELAY_CONFIG"))
+	path := os.Getenv("RELAY_CONFIG")
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // before anything else: it would end the program
+	told, err := boot.Read(path)
 	if err != nil {
 		return err
 	}
@@ -53,8 +56,10 @@
 	site := &told.Deployment
 	servers := fleet.New(told.ConnectWithin, told.IdleLimit, site.Reports, each)
 	outside := gate.Outside{Probe: func(s gate.Server, heard func(gate.Result)) { go servers.Probe(s, heard) }}
+	var count *counter.Counter
 	if site.HasCounter {
-		outside.Count = counter.New(told.Counter, told.ConnectWithin, log).Add
+		count = counter.New(told.Counter, told.ConnectWithin, log)
+		outside.Count = count.Add
 	}
 	g, err := gate.New(*site, told.Seed, outside, log)
 	if err != nil {
@@ -81,6 +86,12 @@
 		log.Info("ready", zap.String("listen", told.Listen))
 	}()
 
+	go func() {
+		for range hup {
+			reload(path, count, list, log)
+		}
+	}()
+
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -97,6 +108,21 @@
 	return nil
 }
 
+// reload reads the configuration again and moves to the addresses that it names. All else in it takes a restart.
+// One that cannot be read leaves the old one in force.
+func reload(path string, count *counter.Counter, list *roster.Roster, log *zap.Logger) {
+	told, err := boot.Read(path)
+	if err != nil {
+		log.Error("the new configuration is not taken", zap.Error(err))
+		return
+	}
+	list.Move(told.Discovery)
+	if count != nil && told.Counter != "" {
+		count.Move(told.Counter)
+	}
+	log.Info("a new configuration", zap.String("discovery", told.Discovery), zap.String("counter", told.Counter))
+}
+
 // limits keeps the runtime within what is handed in.
 func limits(told *boot.Handed) {
 	if told.Cores > 0 {
--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -55,6 +55,7 @@
 	*testing.T
 	addr      string
 	cmd       *exec.Cmd
+	config    string // where its configuration is
 	log       *logged
 	server    *standin.Server
 	counter   *standin.Counter
@@ -80,9 +81,8 @@
 }
 
 // launch starts the program on a configuration.
-func launch(t *testing.T, config string) (*exec.Cmd, *logged) {
+func launch(t *testing.T, path, config string) (*exec.Cmd, *logged) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -104,7 +104,8 @@
 	_ = free.Close()
 	entry := standin.Host("s-1", w.server.Addr, "in_service")
 	w.discovery = standin.NewDiscovery(t, entry)
-	w.cmd, w.log = launch(t, fmt.Sprintf(told, w.addr, w.discovery.Addr, w.counter.Addr, sockets, standin.List(1, true, entry)))
+	w.config = filepath.Join(t.TempDir(), "config.json")
+	w.cmd, w.log = launch(t, w.config, fmt.Sprintf(told, w.addr, w.discovery.Addr, w.counter.Addr, sockets, standin.List(1, true, entry)))
 	standin.Eventually(t, "ready", func() bool {
 		c, err := net.Dial("tcp", w.addr)
 		if err != nil {
@@ -392,11 +393,40 @@
 	}
 }
 
+func TestNewConfigurationMovesCounterAndDiscovery(t *testing.T) {
+	w := begin(t, 1024, hello)
+	c := w.dial()
+	hangUp := func(config, line string) {
+		t.Helper()
+		if err := os.WriteFile(w.config, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_ = w.cmd.Process.Signal(syscall.SIGHUP)
+		standin.Eventually(t, line, func() bool { return strings.Contains(w.log.String(), line) })
+	}
+	hangUp(`{"listen":`, "the new configuration is not taken")
+	c.send(look("c=look,t=wide,d=4800"))
+	c.want("hello")
+	w.counter.Call(t)
+
+	other := standin.NewServer(t, func([]string) string { return standin.Value("other", 1) })
+	count, list := standin.NewCounter(t), standin.NewDiscovery(t, standin.Host("s-2", other.Addr, "in_service"))
+	hangUp(fmt.Sprintf(told, w.addr, list.Addr, count.Addr, 1024, "null"), "a new configuration")
+	for q := ""; !strings.HasPrefix(q, "since=1&"); { // told
+		q = <-list.Queries
+	}
+	for range 3 {
+		c.send(look("c=look,t=wide,d=4800"))
+		c.want("other")
+		count.Call(t)
+	}
+}
+
 func TestBadStartDataIsOnePlainLine(t *testing.T) {
 	for _, config := range []string{"", "{", `{"listen":"127.0.0.1:0"}`,
 		fmt.Sprintf(told, "127.0.0.1:0", "127.0.0.1:1", "127.0.0.1:1", 1024, `[]`),
 		fmt.Sprintf(told, "nowhere", "127.0.0.1:1", "127.0.0.1:1", 1024, `null`)} {
-		cmd, log := launch(t, config)
+		cmd, log := launch(t, filepath.Join(t.TempDir(), "config.json"), config)
 		err := cmd.Wait()
 		if _, exited := err.(*exec.ExitError); !exited || strings.Count(log.String(), "\n") != 1 ||
 			!strings.HasPrefix(log.String(), "harrierhoist: ") {
--- a/internal/boot/handed.go
+++ b/internal/boot/handed.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -12,7 +13,7 @@
 	"harrierhoist/policy"
 )
 
-// Handed is what a gateway on sockets is told at its start.
+// Handed is what a gateway on sockets is told at its start, and again on SIGHUP.
 type Handed struct {
 	Name, Listen, Discovery, Counter string
 
@@ -57,9 +58,9 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	for name, value := range map[string]string{"listen": file.Listen, "discovery": file.Discovery} {
-		if value == "" {
-			return nil, fmt.Errorf("configuration: %s is missing", name)
+	for name, value := range map[string]string{"listen": file.Listen, "discovery": file.Discovery, "counter": file.Counter} {
+		if _, _, err := net.SplitHostPort(value); err != nil && (value != "" || name != "counter") {
+			return nil, fmt.Errorf("configuration: %s: %w", name, err)
 		}
 	}
 	if file.Limits.Sockets <= 0 {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -1,8 +1,11 @@
 // Package counter calls the counter that all gateways share: lines of text, one behind another on a few kept
 // connections, answered in order. It knows nothing of what is counted, and sets no time limit on answers.
+// Once it has moved, new calls go to the new address; those that are out at the old one are answered there.
 package counter
 
 import (
+	"bufio"
+	"math"
 	"net"
 	"net/textproto"
 	"strconv"
@@ -41,17 +44,23 @@
 	at    time.Time // when it was written
 }
 
-// line is one connection and the calls on it.
+// line is a share of the names: the calls for them, in order, and the connection that new ones go on.
 type line struct {
-	addr    string
 	within  time.Duration
 	log     *zap.Logger
 	waiting chan *call
 
-	mu   sync.Mutex
-	conn *textproto.Conn // nil: none is up
+	mu   sync.Mutex // also of the links
+	addr string
+	link *link // nil: none is up
+}
+
+// link is one connection and the calls on it. Whoever closes it sets over.
+type link struct {
+	conn *textproto.Conn
 	sock net.Conn
 	out  []*call // written and not answered, oldest first
+	over bool
 }
 
 // New makes a counter at an address; connections come up with the first calls, within a time.
@@ -64,6 +73,13 @@
 	return c
 }
 
+// Move sends the calls from here on to another address.
+func (c *Counter) Move(addr string) {
+	for _, l := range c.lines {
+		l.move(addr)
+	}
+}
+
 // Add adds to a number and tells the total, in the order of the calls for that number: they share a
 // connection. Withdraw tells whether the call never went out, and never will.
 func (c *Counter) Add(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) (withdraw func() bool) {
@@ -82,36 +98,36 @@
 // together go out together.
 func (l *line) write() {
 	for c := range l.waiting {
-		conn := l.up()
-		if conn == nil {
+		k := l.up()
+		if k == nil {
 			l.refuse(c)
 			continue
 		}
-		l.put(conn, c)
+		l.put(k, c)
 		for len(l.waiting) > 0 {
-			l.put(conn, <-l.waiting)
+			l.put(k, <-l.waiting)
 		}
-		if conn.W.Flush() != nil {
-			l.down(conn, "write fails")
+		if k.conn.W.Flush() != nil {
+			l.down(k, "write fails")
 		}
 	}
 }
 
 // put writes a call that was not withdrawn.
-func (l *line) put(conn *textproto.Conn, c *call) {
+func (l *line) put(k *link, c *call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !c.state.CompareAndSwap(queued, written) {
 		return
 	}
-	if l.conn != conn { // it went down a moment ago
+	if l.link != k { // it went down, or the counter moved, a moment ago
 		c.told(0, policy.NoConnect)
 		return
 	}
 	c.at = time.Now()
-	l.out = append(l.out, c)
-	_ = l.sock.SetWriteDeadline(c.at.Add(writeLimit))
-	_, _ = conn.W.WriteString(c.text + "\r\n") // an error stays until the flush
+	k.out = append(k.out, c)
+	_ = k.sock.SetWriteDeadline(c.at.Add(writeLimit))
+	_, _ = k.conn.W.WriteString(c.text + "\r\n") // an error stays until the flush
 }
 
 // refuse tells a call, and those that waited with it, that there is no connection.
@@ -129,80 +145,111 @@
 }
 
 // up gives the connection, after bringing one up if need be; nil where none can be had.
-func (l *line) up() *textproto.Conn {
+func (l *line) up() *link {
 	l.mu.Lock()
-	conn := l.conn
-	silent := conn != nil && len(l.out) > 0 && time.Since(l.out[0].at) > silentMost
+	k, addr := l.link, l.addr
+	silent := k != nil && len(k.out) > 0 && time.Since(k.out[0].at) > silentMost
 	l.mu.Unlock()
 	if silent {
-		l.down(conn, "silent")
-	} else if conn != nil {
-		return conn
+		l.down(k, "silent")
+	} else if k != nil {
+		return k
 	}
-	sock, err := net.DialTimeout("tcp", l.addr, l.within)
+	sock, err := net.DialTimeout("tcp", addr, l.within)
 	if err != nil {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.sock = textproto.NewConn(sock), sock
-	go l.read(l.conn)
-	return l.conn
+	if l.addr != addr { // moved meanwhile: the next call goes there
+		_ = sock.Close()
+		return nil
+	}
+	l.link = &link{conn: textproto.NewConn(sock), sock: sock}
+	go l.read(l.link)
+	return l.link
 }
 
-// down closes a connection, once. What was written on it may have been added. It is told under the lock: calls
-// on the next connection must not be answered before.
-func (l *line) down(conn *textproto.Conn, why string) {
+// move leaves the connection to the calls that are out on it; the last answer closes it.
+func (l *line) move(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != conn {
+	if l.addr == addr {
 		return
 	}
-	_ = conn.Close()
-	if len(l.out) > 0 {
-		l.log.Info("a connection to the counter is lost", zap.String("why", why), zap.Int("calls", len(l.out)))
+	k := l.link
+	l.addr, l.link = addr, nil
+	if k != nil && len(k.out) == 0 {
+		k.over = true
+		_ = k.conn.Close()
 	}
-	for _, c := range l.out {
+}
+
+// down closes a connection, once. What was written on it may have been added.
+func (l *line) down(k *link, why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k.over {
+		return
+	}
+	k.over = true
+	_ = k.conn.Close()
+	if l.link == k {
+		l.link = nil
+	}
+	if len(k.out) > 0 {
+		l.log.Info("a connection to the counter is lost", zap.String("why", why), zap.Int("calls", len(k.out)))
+	}
+	for _, c := range k.out {
 		c.told(0, policy.TimedOut)
 	}
-	l.conn, l.sock, l.out = nil, nil, nil
 }
 
-// read matches answers with calls, in order.
-func (l *line) read(conn *textproto.Conn) {
-	why := "an answer to no call"
+// read matches answers with calls, in order. A line is as long as the reader's one buffer at most: an answer
+// without an end ends the connection and takes no memory.
+func (l *line) read(k *link) {
 	for {
-		text, err := conn.ReadLine()
-		if err != nil {
+		text, err := k.conn.R.ReadSlice('\n')
+		why := "a spoilt answer"
+		if err == nil {
+			why = l.match(k, string(text))
+		} else if err != bufio.ErrBufferFull {
 			why = err.Error()
-			break
 		}
-		if !l.match(conn, text) {
-			break
+		if why != "" {
+			l.down(k, why)
+			return
 		}
 	}
-	l.down(conn, why)
 }
 
-// match tells the oldest call on a connection its answer; false if there is none.
-func (l *line) match(conn *textproto.Conn, text string) bool {
+// match tells the oldest call on a connection its answer, and says why the connection is to end, if it is. A
+// spoilt answer leaves its call among those that may have been added: it was.
+func (l *line) match(k *link, text string) (end string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != conn || len(l.out) == 0 {
-		return false
+	if len(k.out) == 0 {
+		return "an answer to no call"
+	}
+	total, how, good := answer(text)
+	if !good {
+		return "a spoilt answer"
 	}
-	c := l.out[0]
-	l.out = l.out[1:]
-	c.told(answer(text))
-	return true
+	c := k.out[0]
+	k.out = k.out[1:]
+	c.told(total, how)
+	if l.link != k && len(k.out) == 0 {
+		return "the counter has moved"
+	}
+	return ""
 }
 
-// answer reads a line: what is turned away or no such call has added nothing.
-func answer(text string) (float64, policy.Outcome) {
-	if total, ok := strings.CutPrefix(text, "ok "); ok {
-		if v, err := strconv.ParseFloat(total, 64); err == nil && v == v {
-			return v, policy.Answered
-		}
+// answer reads a line: what is turned away or no such call has added nothing. Any other line is spoilt.
+func answer(line string) (total float64, how policy.Outcome, good bool) {
+	text, ended := strings.CutSuffix(line, "\r\n")
+	if figure, ok := strings.CutPrefix(text, "ok "); ok {
+		v, err := strconv.ParseFloat(figure, 64)
+		return v, policy.Answered, ended && err == nil && !math.IsNaN(v) && !math.IsInf(v, 0)
 	}
-	return 0, policy.Full
+	return 0, policy.Full, ended && (text == "busy" || text == "error")
 }
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
-	"fmt"
+	"errors"
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,10 +128,43 @@
 }
 
 func TestTurnedAwayAddsNothing(t *testing.T) {
-	for text, want := range map[string]policy.Outcome{"busy": policy.Full, "error": policy.Full, "ok x": policy.Full,
-		"ok 4.5": policy.Answered, strings.Repeat("k", 9): policy.Full} {
-		if total, how := answer(text); how != want || how == policy.Answered && total != 4.5 {
-			t.Errorf("%q: got %v", text, fmt.Sprint(total, how))
+	for line, want := range map[string]policy.Outcome{"busy": policy.Full, "error": policy.Full, "ok 4.5": policy.Answered} {
+		if total, how, good := answer(line + "\r\n"); !good || how != want || how == policy.Answered && total != 4.5 {
+			t.Errorf("%q: got %v, %v, %v", line, total, how, good)
 		}
 	}
 }
+
+func TestSpoiltAnswerWasAddedAndEndsItsConnection(t *testing.T) {
+	for _, spoilt := range []string{"ok\r\n", "ok x\r\n", "ok nan\r\n", "ok 7\n", "busybusy\r\n", "\r\n", strings.Repeat("k", 9000)} {
+		l := standin.Listen(t)
+		c := dial(t, l.Addr().String())
+		c.add(8, 1)
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, spoilt)
+		c.want(told{0, 0, policy.TimedOut})
+		if _, err := io.Copy(io.Discard, conn); err != nil && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%.9q: the connection: %v", spoilt, err)
+		}
+		_ = conn.Close()
+	}
+}
+
+func TestMovedCounterAnswersWhatIsOutAndTheNewOneTheRest(t *testing.T) {
+	old, next := standin.NewCounter(t), standin.NewCounter(t)
+	c := dial(t, old.Addr)
+	letGo := old.Hold()
+	c.add(8, 5)
+	old.Call(t)
+	c.c.Move(next.Addr)
+	c.add(8, 1)
+	c.want(told{1, 1, policy.Answered})
+	letGo()
+	c.want(told{0, 5, policy.Answered})
+	if next.Call(t) != "incr 8 1 4000" || len(old.Calls) != 0 {
+		t.Error("the old counter was called again")
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -97,7 +97,8 @@
 type call struct {
 	name     uint64
 	at       time.Duration
-	over     bool
+	answer   *policy.Tally // nil: none yet
+	over     bool          // told to the module
 	withdraw func() bool
 }
 
@@ -172,10 +173,20 @@
 	}
 }
 
+// counted takes the answer to a call, and tells the module those for its name up to the first that is still to
+// come: the module matches them in order, and two connections, as after a move, keep none between them.
 func (g *Gate) counted(c *call, total float64, how policy.Outcome) {
-	c.over = true
-	now := g.now()
-	g.module.Counted(now, policy.Tally{Name: c.name, Total: total, Took: now - c.at, Outcome: how})
+	c.answer = &policy.Tally{Name: c.name, Total: total, Took: g.now() - c.at, Outcome: how}
+	for _, e := range g.calls {
+		if e.name != c.name || e.over {
+			continue
+		}
+		if e.answer == nil {
+			return
+		}
+		e.over = true
+		g.module.Counted(g.now(), *e.answer)
+	}
 }
 
 // List takes the servers: all of them, or those that changed.
@@ -308,7 +319,7 @@
 	c.withdraw = g.outside.Count(name, units, keep, func(total float64, how policy.Outcome) {
 		g.enter()
 		defer g.leave()
-		if !c.over { // else it was too late
+		if c.answer == nil { // else it was too late
 			g.counted(c, total, how)
 		}
 	})
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -162,3 +162,14 @@
 	<-s.g.Wanted()
 	s.pushed(0, time.Second) // the earlier list stands
 }
+
+func TestAnswersForANameReachTheModuleInTheOrderOfTheCalls(t *testing.T) {
+	s := begin(t)
+	first := s.g.Admit(Task{Customer: 9, Plan: 1, Width: 1, Units: 1, Patience: time.Second})
+	second := s.g.Admit(Task{Customer: 9, Plan: 1, Width: 1, Units: 1, Patience: time.Second})
+	one, two := <-s.calls, <-s.calls
+	two.told(99, policy.Answered) // the later connection is the quicker one
+	one.told(0, policy.Answered)
+	s.want(first, Push)
+	s.want(second, Reject)
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,4 +1,5 @@
-// Package roster keeps up with discovery: which servers there are, by a watch that is begun again at once.
+// Package roster keeps up with discovery: which servers there are, by a watch that is begun again at once, also
+// where discovery moves to another address.
 package roster
 
 import (
@@ -8,6 +9,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,19 +27,21 @@
 
 // Roster asks discovery's agent.
 type Roster struct {
-	base         string
+	moved        chan string // the latest address not yet watched
 	client       *http.Client
 	gate         *gate.Gate
 	log          *zap.Logger
 	halls, kinds []string
 	seq          int64
 	first        chan struct{} // closed with the first answer
+	once         sync.Once
 }
 
 // New makes a roster that hands what it learns to the gate, first of all the list as last held.
 func New(told *boot.Handed, g *gate.Gate, log *zap.Logger) (*Roster, error) {
-	r := &Roster{base: "http://" + told.Discovery + "/api/targets", gate: g, log: log, halls: told.Halls,
-		kinds: told.Kinds, first: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}}
+	r := &Roster{moved: make(chan string, 1), gate: g, log: log, halls: told.Halls, kinds: told.Kinds,
+		first: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}}
+	r.moved <- told.Discovery
 	if len(told.Known) > 0 && string(told.Known) != "null" {
 		l, err := r.decode(told.Known)
 		if err != nil {
@@ -51,8 +55,44 @@
 // First is closed once discovery has answered.
 func (r *Roster) First() <-chan struct{} { return r.first }
 
-// Watch keeps up until the context ends. After a failure it waits until the gate wants the list again.
+// Move has another address watched from here on.
+func (r *Roster) Move(addr string) {
+	select {
+	case <-r.moved: // one that was never watched
+	default:
+	}
+	r.moved <- addr
+}
+
+// Watch keeps up until the context ends, at one address after the other.
 func (r *Roster) Watch(ctx context.Context) {
+	stop := func() {}
+	addr := ""
+	for {
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case to := <-r.moved:
+			if to == addr {
+				continue
+			}
+			addr = to
+			stop() // what it still had to tell is not waited for: the next tells the whole list
+			here, end := context.WithCancel(ctx)
+			ended := make(chan struct{})
+			stop = func() { end(); <-ended }
+			go func() {
+				defer close(ended)
+				r.follow(here, "http://"+addr+"/api/targets")
+			}()
+		}
+	}
+}
+
+// follow keeps up with one address until the context ends. After a failure it waits until the gate wants the
+// list again.
+func (r *Roster) follow(ctx context.Context, base string) {
 	seen := false
 	for ctx.Err() == nil {
 		query, wait := "", answerWait
@@ -60,11 +100,11 @@
 			query = fmt.Sprintf("?since=%d&timeout_ms=%d", r.seq, watchWait.Milliseconds())
 			wait += watchWait
 		}
-		l, err := r.ask(ctx, query, wait)
+		l, err := r.ask(ctx, base+query, wait)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
 			r.log.Warn("discovery does not answer", zap.Error(err))
 			r.gate.List(policy.ListFailed, nil)
 			select {
@@ -80,18 +120,15 @@
 		if len(l.servers) > 0 || l.whole {
 			r.gate.List(kind, l.servers)
 		}
-		r.seq = l.seq
-		if !seen {
-			seen = true
-			close(r.first)
-		}
+		r.seq, seen = l.seq, true
+		r.once.Do(func() { close(r.first) })
 	}
 }
 
-func (r *Roster) ask(ctx context.Context, query string, wait time.Duration) (*list, error) {
+func (r *Roster) ask(ctx context.Context, url string, wait time.Duration) (*list, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.base+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+func TestMovedDiscoveryIsAskedAtOnceForItsWholeList(t *testing.T) {
+	old := standin.NewDiscovery(t, standin.Host("s-1", "x", "in_service"))
+	next := standin.NewDiscovery(t, standin.Host("s-2", "x", "in_service"))
+	r, err := begin(t, old.Addr, "null")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for q := ""; !strings.HasPrefix(q, "since=1&"); { // a watch that the old one will not end
+		q = <-old.Queries
+	}
+	r.Move(next.Addr)
+	if q := <-next.Queries; q != "" {
+		t.Errorf("asked first with %q", q)
+	}
+	if q := <-next.Queries; !strings.HasPrefix(q, "since=1&") {
+		t.Errorf("went on with %q", q)
+	}
+}
+
 func TestDiscoveryThatIsNotThereIsAskedAgain(t *testing.T) {
 	l := standin.Listen(t)
 	if _, err := begin(t, l.Addr().String(), standin.List(1, true)); err != nil {
