Only the answers that servers show are taken; any other may have run and ends its connection

Checked in the source: result() (fleet.go) took any line of kind '-' as an error and kept its connection, a null value as an error, a bare bulk string as served, BUSY with anything behind it as never run; an answer that broke off held its task to the end of its patience (the one deadline of Push), and a cost of -1 or Inf was billed.

Now: an array of value, use and load; ERR failed and BUSY with notes at most. All else has may-have-run told (Reset) and is dropped. Once an answer has begun, the rest must come within the time that a connection may take to come up. Lengths are read in the one form in which they are written. A connection rests 2 ms after an answer where another can be had, so that what comes right behind it is seen. Guards against spoilt and excess answers; harm: a few connections more.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,9 +19,14 @@
 	"harrierhoist/policy"
 )
 
-// idlePart is the part of the servers' idle limit after which we drop a connection. The limit is theirs and
-// may be kept early; half leaves room for that and for a slow machine.
-const idlePart = 2
+const (
+	// The part of the servers' idle limit after which we drop a connection. The limit is theirs and may be kept
+	// early; half leaves room for that and for a slow machine.
+	idlePart = 2
+	// So long a connection rests after an answer if others can be had: what a server sends right behind it, which
+	// would be taken for the next answer, is here by then, and the connection is not quiet.
+	restLeast = 2 * time.Millisecond
+)
 
 // Fleet owns the connections to servers.
 type Fleet struct {
@@ -68,45 +75,73 @@
 	if err != nil {
 		return gate.Result{Outcome: unsent(ctx)}, nil
 	}
-	_ = c.SetDeadline(until)
-	stop := context.AfterFunc(ctx, c.Abort) // after the deadline is set, which would undo it
-	reply, whole, err := exchange(c, p.command(until))
-	stopped := stop()
-	switch {
-	case !whole:
-		f.drop(c)
-		return gate.Result{Outcome: unsent(ctx)}, nil
-	case err != nil:
-		f.drop(c)
-		how := policy.Reset
-		if !stopped {
-			how = policy.Cancelled
-		} else if errors.Is(err, os.ErrDeadlineExceeded) {
-			how = policy.TimedOut
-		}
-		if how != policy.Reset {
-			// No answer: the machine may be gone without a word. Connections to it that were last used before are
-			// dropped, as they would be silent too; if it was one long task, they are made again.
-			f.sweep(to.Dial, began)
+	stop := context.AfterFunc(ctx, c.Abort)
+	reply, how := f.exchange(ctx, c, p.command(until), until)
+	wanted := stop()
+	if how == answered {
+		out, value, good := f.result(reply)
+		if good && wanted {
+			f.keep(to.Dial, c)
+		} else {
+			f.drop(c) // of no use after a spoilt answer; given up as it came, a good one counts all the same
 		}
-		return gate.Result{Outcome: how}, nil
-	case stopped:
-		f.keep(to.Dial, c)
-	default: // given up as the reply came: it is good, but the connection is to be closed
-		f.drop(c)
+		return out, value
 	}
-	return f.result(reply)
+	f.drop(c)
+	out := gate.Result{Outcome: policy.Reset}
+	switch {
+	case how == unwritten:
+		out.Outcome = unsent(ctx)
+	case !wanted:
+		out.Outcome = policy.Cancelled
+	case how == silent:
+		out.Outcome = policy.TimedOut
+	}
+	if !wanted || how == silent {
+		// No answer: the machine may be gone without a word. Connections to it that were last used before are
+		// dropped, as they would be silent too; if it was one long task, they are made again.
+		f.sweep(to.Dial, began)
+	}
+	return out, nil
 }
 
-// exchange sends a command and waits for the reply. Whole tells whether the command's last byte was written.
-func exchange(c *kept, cmd *resp.Command) (reply *resp.Reply, whole bool, err error) {
-	if err = c.WriteCommand(cmd); err != nil {
-		return nil, false, err
+// exchanged is how far an exchange came.
+type exchanged uint8
+
+const (
+	unwritten exchanged = iota // the command's last byte was not written
+	silent                     // no answer by the deadline
+	ended                      // the connection ended before an answer
+	spoilt                     // an answer began and is none, or did not go on
+	answered
+)
+
+// exchange sends a command and waits for the reply. Once that has begun, the rest must follow in the time that a
+// connection may take to come up: servers write an answer in one go.
+func (f *Fleet) exchange(ctx context.Context, c *kept, cmd *resp.Command, until time.Time) (*resp.Reply, exchanged) {
+	limit := func(t time.Time) {
+		_ = c.SetDeadline(t)
+		if ctx.Err() != nil { // given up meanwhile, which the limit has undone
+			c.Abort()
+		}
+	}
+	limit(until)
+	if c.WriteCommand(cmd) != nil {
+		return nil, unwritten
+	}
+	if err := c.Await(); errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, silent
+	} else if err != nil {
+		return nil, ended
 	}
-	if err = c.Await(); err == nil {
-		reply, err = c.ReadReply()
+	if soon := time.Now().Add(f.connectWithin); soon.Before(until) {
+		limit(soon)
 	}
-	return reply, true, err
+	reply, err := c.ReadReply()
+	if err != nil {
+		return nil, spoilt
+	}
+	return reply, answered
 }
 
 // unsent is the outcome of a push that never reached a server whole.
@@ -117,32 +152,39 @@
 	return policy.NoConnect
 }
 
-// result reads a reply. Notes and the words of an error line tell use and load, wherever they stand.
-func (f *Fleet) result(r *resp.Reply) (gate.Result, *resp.Bulk) {
-	out := gate.Result{Outcome: policy.Errored}
+// result reads a reply. Good are the forms that servers show: an array of the value, use and load; ERR failed or
+// BUSY with notes at most. Anything else is spoilt: the task may have run, whatever the line says.
+func (f *Fleet) result(r *resp.Reply) (out gate.Result, value *resp.Bulk, good bool) {
 	notes := r.Notes
-	switch {
-	case r.Value != nil:
+	switch words := strings.Fields(r.Line); {
+	case r.Kind == '*' && r.Value != nil && len(notes) == notesMany:
 		out.Outcome = policy.Answered
-	case r.Kind == '-':
-		notes = strings.Fields(r.Line)
-		if len(notes) > 0 && notes[0] == "BUSY" {
-			out.Outcome = policy.Full
-		}
+	case r.Kind == '-' && len(words) >= 2 && words[0] == "ERR" && words[1] == "failed":
+		out.Outcome, notes = policy.Errored, words[2:]
+	case r.Kind == '-' && len(words) >= 1 && words[0] == "BUSY" && !slices.ContainsFunc(words[1:], noNote):
+		out.Outcome, notes = policy.Full, words[1:]
+	default:
+		r.Value.Free()
+		return gate.Result{Outcome: policy.Reset}, nil, false
 	}
 	for _, note := range notes {
 		f.read(&out, note)
 	}
-	return out, r.Value
+	return out, r.Value, true
 }
 
+// notesMany is how many notes follow a value: use and load, either perhaps null.
+const notesMany = 2
+
+func noNote(word string) bool { return !strings.Contains(word, "=") }
+
 // read takes the figures from a note such as used=37,cost=4.
 func (f *Fleet) read(out *gate.Result, note string) {
 	report := make([]float32, 0, len(f.reports))
 	figures := map[string]float64{}
 	for pair := range strings.SplitSeq(note, ",") {
 		name, text, _ := strings.Cut(pair, "=")
-		if v, err := strconv.ParseFloat(text, 64); err == nil {
+		if v, err := strconv.ParseFloat(text, 64); err == nil && v >= 0 && !math.IsInf(v, 1) {
 			figures[name] = v
 		}
 	}
@@ -171,9 +213,8 @@
 	if len(f.reports) > 0 {
 		words = []string{"INFO", "load"}
 	}
-	_ = c.SetDeadline(until)
-	reply, _, err := exchange(c, &resp.Command{Words: words})
-	if err != nil {
+	reply, how := f.exchange(context.Background(), c, &resp.Command{Words: words}, until)
+	if how != answered {
 		f.drop(c)
 		told(gate.Result{Outcome: policy.TimedOut})
 		return
@@ -214,7 +255,7 @@
 	return &kept{Conn: resp.NewConn(conn)}, nil
 }
 
-// idle takes the idle connection used last.
+// idle takes the idle connection used last, of those that have rested if there are any.
 func (f *Fleet) idle(dial string) *kept {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -222,8 +263,12 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	f.kept[dial] = list[:len(list)-1]
+	at := len(list) - 1
+	for at > 0 && time.Since(list[at].used) < restLeast {
+		at--
+	}
+	c := list[at]
+	f.kept[dial] = slices.Delete(list, at, at+1)
 	return c
 }
 
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -310,9 +310,10 @@
 	return number(string(line[1:]))
 }
 
+// number reads a length in the one form in which it is written.
 func number(text string) (int, error) {
 	n, err := strconv.Atoi(text)
-	if err != nil || n < -1 {
+	if err != nil || n < -1 || strconv.Itoa(n) != text {
 		return 0, BadMessage("a length is no number")
 	}
 	return n, nil
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -75,6 +75,8 @@
 		"too many words":   {"*7\r\n", true},
 		"no number":        {"*x\r\n", true},
 		"huge number":      {"*99999999999999999999\r\n", true},
+		"odd number":       {"*1\r\n$+4\r\nPING\r\n", true},
+		"negative number":  {"*1\r\n$-4\r\nPING\r\n", true},
 		"null word":        {"*1\r\n$-1\r\n", true},
 		"long word":        {"*1\r\n$2000\r\n", true},
 		"long value":       {"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$65537\r\n", true},
