One failure tells little where failures strike everywhere; customers and servers are forgotten

Seen: with one answer in fifteen spoilt at any server alike, a gateway's log had 45 to 100 lines of servers set aside in 25 s, and a probe that counted rejections by reason (in the log, not kept) found 60 to 100 tasks of 700 in 5 s that met no server. Checked: not the calm share (shed 2 to 6), not the list. At fault: server.ended set a server aside for a second at one failure, so four in ten were out at any time and the rest at their bound (filled).

Now two failures in a row are asked for while more than a quarter of the servers, and more than two, failed lately; else one, as before. Turned away counts a third of a failure, as before. Guards against scattered failures of any cause; harm: a bad server among them gets a push more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,15 +1,12 @@
-// Package policy is the whole of a gateway's decisions. A gateway around it makes one Gateway with New,
-// then hands it each event by one call (List, Take, Ended, Begun, Lapsed, Woke, Counted, Probed, Heard)
-// with the time now, and carries out what the Gateway asks of its Host within that call. The types handed
-// in and the Host stand in host.go.
-//
-// Each call drops a note at the door; one loop empties the inboxes until none holds a note. A task's way
-// is: door (ids become indices), quota desk (the count says push or reject), fleet (two servers drawn, one
-// taken), server (pushes), course (what follows an outcome, and the final answer). A part may read
-// another's figures; only its notes change them.
+// Package policy is the whole of a gateway's decisions. A gateway makes one with New, hands it each event by
+// a call with the time now, and carries out what that asks of its Host (host.go) within the call.
+// Each call drops a note at the door; one loop empties the inboxes until none holds a note. A task's way is:
+// door, quota desk (the count says push or reject), fleet (two servers drawn, one taken), server (pushes),
+// course (what follows an outcome, the final answer). Parts may read others' figures; only notes change them.
 package policy
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"math/rand"
@@ -31,7 +28,9 @@
 	furtherMost = 2                      // further pushes of a task while no overload is seen: the users' way
 	samplesMany = 64                     // samples kept of a lane or the fleet: enough for a ninth decile
 	samplesLoad = 128                    // answers of warm servers kept to tell the load that they bear
-	fullLeast   = 3                      // turned away so often in a row: less may be chance
+	illLeast    = 3                      // a failure counts so much, turned away 1: less in a row may be chance
+	struckPart  = 0.25                   // where more of the ready servers failed lately, one tells little
+	struckLeast = 2.0                    // and more than so many: these may all be bad
 	asideLeast  = time.Second            // a server set aside is left alone so long at least
 	asideTimes  = 4.0                    // and for so many of our usual pushes to one: a fifth of its part
 	silentTimes = 4                      // a push out this many ninth deciles with no answer since means silence
@@ -63,17 +62,11 @@
 }
 
 // latest gives the n-th sample from the newest, counted from 0.
-func (l *last[T]) latest(n int) T {
-	return l.items[((l.next-1-n)%len(l.items)+len(l.items))%len(l.items)]
-}
+func (l *last[T]) latest(n int) T { return l.items[(l.next-1-n+2*len(l.items))%len(l.items)] }
 
 // part is an actor with its inbox.
-type part struct {
-	inbox  []note
-	queued bool
-}
+type part struct{ inbox []note }
 
-// note is what parts tell each other.
 type note struct {
 	what  func(note) // the handler at the part that gets it
 	job   *job
@@ -87,29 +80,26 @@
 
 // row is a lane as the module reads it.
 type row struct {
-	soft, patience, window time.Duration
-	allowed                time.Duration // the longest that a client gave a try
-	effect                 Effect
-	group                  Group
-	took                   last[time.Duration] // answer times
-	sorted                 []time.Duration     // the same in order
+	Lane
+	allowed time.Duration       // the longest that a client gave a try
+	took    last[time.Duration] // answer times
+	sorted  []time.Duration     // the same in order
 }
 
 // Gateway is one instance.
 type Gateway struct {
-	site      Deployment
-	host      Host
-	chance    *rand.Rand
-	now       time.Duration
-	waiting   []*part // parts with notes, in the order of their first note
-	lanes     []row
-	tightest  time.Duration   // the shortest soft limit of all lanes
-	jobs      map[uint32]*job // tasks that are not over, or still have pushes out
-	customers map[uint64]int  // indices of customers and servers
-	places    map[uint32]int
-	desk      desk
-	fleet     fleet
-	course    course
+	site     Deployment
+	host     Host
+	chance   *rand.Rand
+	now      time.Duration
+	waiting  []*part // parts with notes, in the order of their first note
+	lanes    []row
+	tightest time.Duration   // the shortest soft limit of all lanes
+	jobs     map[uint32]*job // tasks that are not over, or still have pushes out
+	born     time.Duration   // of the first list
+	desk     desk
+	fleet    fleet
+	course   course
 }
 
 // New makes a gateway with no memory of an earlier life. It asks nothing of the host yet.
@@ -117,25 +107,20 @@
 	if len(site.Lanes) == 0 || len(site.Plans) == 0 || site.Gateways < 1 {
 		return nil, errors.New("a gateway needs at least one lane, one plan and its place among the gateways")
 	}
-	g := &Gateway{site: site, host: host, chance: rand.New(rand.NewSource(seed)), jobs: map[uint32]*job{},
-		customers: map[uint64]int{}, places: map[uint32]int{}}
+	g := &Gateway{site: site, host: host, chance: rand.New(rand.NewSource(seed)), jobs: map[uint32]*job{}}
 	g.tightest = site.Lanes[0].SoftLimit
 	for _, l := range site.Lanes {
 		g.tightest = min(g.tightest, l.SoftLimit)
-		g.lanes = append(g.lanes, row{soft: l.SoftLimit, patience: l.Patience,
-			effect: l.Effect, group: l.Group, window: l.Window})
+		g.lanes = append(g.lanes, row{Lane: l})
 	}
-	g.desk = desk{Gateway: g, calls: map[uint64][]call{}, heed: 1}
-	g.fleet = fleet{Gateway: g, kinds: map[int]last[time.Duration]{}}
+	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1}
+	g.fleet = fleet{Gateway: g, places: map[uint32]*server{}, kinds: map[int]last[time.Duration]{}}
 	g.course = course{Gateway: g}
 	return g, nil
 }
 
-// post puts a note into an inbox.
 func (g *Gateway) post(to *part, n note) {
-	to.inbox = append(to.inbox, n)
-	if !to.queued {
-		to.queued = true
+	if to.inbox = append(to.inbox, n); len(to.inbox) == 1 {
 		g.waiting = append(g.waiting, to)
 	}
 }
@@ -146,7 +131,7 @@
 		p := g.waiting[0]
 		g.waiting = g.waiting[1:]
 		notes := p.inbox
-		p.inbox, p.queued = nil, false
+		p.inbox = nil
 		for _, n := range notes {
 			n.what(n)
 		}
@@ -176,6 +161,9 @@
 
 // List takes what the list of servers brings.
 func (g *Gateway) List(now time.Duration, kind ListKind, list []Listed) {
+	if g.born == 0 {
+		g.born = now
+	}
 	g.tell(now, &g.fleet.part, note{what: g.fleet.listed, kind: kind, list: list})
 }
 
@@ -183,17 +171,17 @@
 func (g *Gateway) Take(now time.Duration, t Task) {
 	g.now = now
 	row := &g.lanes[t.Lane]
-	j := &job{Task: t, soft: min(now+row.soft, t.Expires), row: row, book: g.desk.open(t)}
+	j := &job{Task: t, soft: min(now+row.SoftLimit, t.Expires), row: row, book: g.desk.open(t)}
 	g.jobs[t.ID] = j
-	// A task given less time than others of its lane has used up some of its soft limit as well: a repeat the
-	// rest of its client's patience, a first try what this gateway stood still. What is late is rejected.
+	// A task given less time than others of its lane has used up some of its soft limit as well: a repeat by
+	// its earlier tries, a first try while this gateway stood still. What is late is rejected.
 	row.allowed = max(row.allowed, t.Expires-now)
 	if t.Expires-now < row.allowed-g.site.AnswerSlack {
 		given := row.allowed
 		if t.Repeat {
-			given = row.patience
+			given = row.Patience
 		}
-		j.soft = t.Expires - given + row.soft
+		j.soft = t.Expires - given + row.SoftLimit
 	}
 	// A little before the client leaves: a tick may be late, and a later answer would be none.
 	g.wake(wakePatience, t.ID, t.Expires-now-2*g.site.Tick)
@@ -208,7 +196,7 @@
 	}
 }
 
-// Begun tells that a streamed answer has started; the task then has no time limit.
+// Begun tells that a streamed answer has started: the task has no time limit then.
 func (g *Gateway) Begun(_ time.Duration, task uint32, _ int) {
 	if j := g.jobs[task]; j != nil {
 		j.begun = true
@@ -249,9 +237,6 @@
 // Heard takes a peer's message. Peers are not listened to: gateways learn of each other from the counter.
 func (g *Gateway) Heard(time.Duration, int, []byte) {}
 
-// A task.
-
-// job is a task on its way.
 type job struct {
 	Task
 	soft   time.Duration // when the soft limit ends
@@ -265,7 +250,6 @@
 	over   bool // the final answer is given
 }
 
-// sent is one push of a task.
 type sent struct {
 	server *server
 	at     time.Duration
@@ -273,10 +257,8 @@
 	idle   bool // ended, and proven never to have run
 }
 
-// sentAt is when the latest push went out.
 func (j *job) sentAt() time.Duration { return j.pushes[len(j.pushes)-1].at }
 
-// isOut tells whether a push is out.
 func (j *job) isOut() bool {
 	return slices.ContainsFunc(j.pushes, func(s sent) bool { return !s.ended })
 }
@@ -286,16 +268,16 @@
 func (j *job) may(now time.Duration, to *server, site *Deployment) (push, reject bool) {
 	ran := slices.IndexFunc(j.pushes, func(s sent) bool { return !s.idle }) // the first that may have run
 	push = !j.over && len(j.pushes) < site.PushLimit && (!j.isOut() || site.TwoAtOnce)
-	if ran < 0 || j.row.effect == Pure {
+	if ran < 0 || j.row.Effect == Pure {
 		return push, true
 	}
-	if j.row.effect == Effectful {
+	if j.row.Effect == Effectful {
 		return false, false
 	}
 	first := j.pushes[ran]
-	same := to == nil || j.row.group == GroupAll || j.row.group == GroupHall && to.Hall == first.server.Hall ||
-		j.row.group == GroupCell && to.Cell == first.server.Cell
-	return push && same && now < first.at+j.row.window, j.row.group == GroupAll
+	same := to == nil || j.row.Group == GroupAll || j.row.Group == GroupHall && to.Hall == first.server.Hall ||
+		j.row.Group == GroupCell && to.Cell == first.server.Cell
+	return push && same && now < first.at+j.row.Window, j.row.Group == GroupAll
 }
 
 // The quota desk.
@@ -303,9 +285,11 @@
 type desk struct {
 	*Gateway
 	part
-	books []*book // by the customer's index
-	calls map[uint64][]call
-	heed  float64 // chance that a call is made: 1 while the counter answers
+	customers map[uint64]*book
+	books     []*book // the same, to look through
+	hand      int     // the next to be looked at
+	calls     map[uint64][]call
+	heed      float64 // chance that a call is made: 1 while the counter answers
 }
 
 // book is what the desk knows of a customer.
@@ -347,27 +331,42 @@
 	sum     float64
 }
 
-// open finds a customer's book. All gateways work out the same windows from the common clock; those of
-// different customers start apart, so that their opening does not crowd the counter. The ceiling's share
-// starts from nothing: an earlier life of this gateway may have used it.
+// open finds a customer's book. All gateways work out the same windows from the common clock, those of the
+// customers apart, to crowd no counter. The ceiling's share starts from nothing as an earlier life may have
+// used it.
 func (d *desk) open(t Task) *book {
-	i, known := d.customers[t.Customer]
-	if !known {
-		i = len(d.books)
-		d.customers[t.Customer] = i
+	d.forget()
+	b := d.customers[t.Customer]
+	if b == nil {
 		plan := &d.site.Plans[t.Plan]
-		b := &book{customer: t.Customer, plan: plan, width: float64(min(max(t.Width, 1), d.site.Gateways)),
-			filled: d.now, left: plan.Burst}
+		never := look{window: -1, at: d.now, level: plan.Burst}
+		b = &book{customer: t.Customer, plan: plan, width: float64(min(max(t.Width, 1), d.site.Gateways)),
+			filled: d.born, left: plan.Burst, looks: [2]look{never, never}}
 		if plan.Rate > 0 {
 			length := time.Duration(windowFills * plan.Burst / plan.Rate * float64(time.Second))
 			b.length = min(max(length, windowLeast), keepMost/2)
 			b.offset = time.Duration(name(t.Customer, 0) % uint64(b.length))
 		}
-		never := look{window: -1, at: d.now, level: plan.Burst}
-		b.looks = [2]look{never, never}
+		d.customers[t.Customer] = b
 		d.books = append(d.books, b)
 	}
-	return d.books[i]
+	return b
+}
+
+// forget drops books not used for as long as a count or a charge lasts, two looked at with each task. It
+// guards against customers who come once. Harm: a store that takes longer to fill is taken for full.
+func (d *desk) forget() {
+	for range min(len(d.books), 2) {
+		d.hand %= len(d.books)
+		b, end := d.books[d.hand], len(d.books)-1
+		if b.out > 0 || d.now < b.filled+keepMost {
+			d.hand++
+			continue
+		}
+		delete(d.customers, b.customer)
+		d.books[d.hand], d.books[end] = d.books[end], nil
+		d.books = d.books[:end]
+	}
 }
 
 // window gives the number of the window that a time falls in, start a window's start.
@@ -375,8 +374,7 @@
 
 func (b *book) start(window int64) time.Duration { return time.Duration(window)*b.length - b.offset }
 
-// thin tells that the customer's tasks come here too seldom to learn of it between them: our even share of a
-// burst holds less than two such tasks.
+// thin tells that tasks come here too seldom to learn of the customer: our share of a burst holds under two.
 func (b *book) thin(units float64) bool { return b.plan.Burst < thinTasks*units*b.width }
 
 // level is what the store can hold by the looks so far: what it held at the latest and what came since, up to
@@ -395,7 +393,6 @@
 	return max(min(from.level+b.plan.Rate*(at-from.at).Seconds()-used, most), 0)
 }
 
-// fill lets the stores of quota and ceiling fill.
 func (b *book) fill(now time.Duration) {
 	passed := (now - b.filled).Seconds()
 	b.filled = now
@@ -403,8 +400,8 @@
 	b.ceiling = min(b.ceiling+b.plan.CeilingRate/b.width*passed, b.plan.CeilingBurst/b.width)
 }
 
-// unseen is what others have likely sent on and not yet charged: at their rate in the window last looked at,
-// for the time of an answer. It guards against a count that lags by what is out.
+// unseen is what others likely sent on and did not charge yet: their rate in the window last looked at, for
+// an answer's time. It guards against a count that lags by what is out.
 func (b *book) unseen(usual time.Duration) float64 {
 	l := b.looks[0]
 	passed := max(l.at-b.start(l.window), b.length/2, 1)
@@ -427,13 +424,13 @@
 	case j.asked:
 		d.decide(j, false) // the check takes too much of the soft limit
 	case d.now >= j.soft:
-		d.post(&d.course.part, note{what: d.course.finish, job: j, away: j.row.patience})
+		d.post(&d.course.part, note{what: d.course.finish, job: j, away: j.row.Patience})
 	case b.plan.Rate > 0 && b.left+b.assumed < j.Units && len(b.pending) == 0:
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
 	case d.site.HasCounter && b.plan.Rate > 0 && !spare && d.chance.Float64() < d.heed:
 		j.asked = true
 		d.charge(b, j, 1)
-		if early := time.Duration(callPart * float64(j.row.soft)); early < d.site.CountLimit {
+		if early := time.Duration(callPart * float64(j.row.SoftLimit)); early < d.site.CountLimit {
 			d.wake(wakeCheck, j.ID, early)
 		}
 	default:
@@ -456,16 +453,15 @@
 	d.ring(c)
 }
 
-// ring makes a call.
 func (d *desk) ring(c call) {
 	id := name(c.book.customer, c.window)
 	d.calls[id] = append(d.calls[id], c)
 	d.host.Count(id, min(2*c.book.length, keepMost), c.sum)
 }
 
-// counted takes a total. Charges of a call that timed out are held to have been added: a count too high would
-// reject a customer with room until the window ends, one too low is only one of several guards. Calls are
-// left out by lot as they go wrong: that crowds no counter further, and gateways keep out of step.
+// counted takes a total. Charges of a call that timed out are held to have been added: a count too high
+// rejects to its window's end, one too low is one of several guards. Calls are left out by lot as they go
+// wrong: that crowds no counter further, and gateways keep out of step.
 func (d *desk) counted(n note) {
 	queue := d.calls[n.tally.Name]
 	if len(queue) == 0 {
@@ -498,8 +494,7 @@
 }
 
 // read keeps a look at a total. Whoever finds a window's count untouched opens it: it reads what came of the
-// window before and carries over what that overran, so that gateways which did not see that one know the
-// store as well.
+// one before and carries over what that overran, for gateways that did not see it.
 func (d *desk) read(c call, units float64) {
 	b := c.book
 	current := b.window(d.now)
@@ -560,8 +555,7 @@
 			return
 		}
 	}
-	// The ceiling: a share of this gateway's own. It holds whatever the counter, the peers or a restart do, as
-	// the shares of all gateways of the set add up to the ceiling; a customer spread unevenly pays for it.
+	// The ceiling: our own share. The set's shares add up to it, whatever the counter, peers or a restart do.
 	if b.plan.CeilingRate > 0 {
 		if b.ceiling < j.Units {
 			d.bar(j, (j.Units-b.ceiling)*b.width, b.plan.CeilingRate)
@@ -580,15 +574,14 @@
 	d.post(&d.fleet.part, note{what: d.fleet.seek, job: j})
 }
 
-// bar rejects a task until the missing units have come.
 func (d *desk) bar(j *job, missing, rate float64) {
 	away := time.Duration(missing / rate * float64(time.Second))
 	d.post(&d.course.part, note{what: d.course.finish, job: j, away: away})
 }
 
-// settled ends a task's stay in the book: its true units are charged with the customer's next check or, where
-// none is to be expected in time, by a call of their own; while calls are left out, one that goes stands for
-// those that do not. A push without an answer is charged what was told: it did count.
+// settled ends a task's stay in the book: its true units are charged with the next check or, where none is to
+// be expected in time, by a call of their own; while calls are left out, one that goes stands for those that
+// do not. A push without an answer is charged what was told: it did count.
 func (d *desk) settled(n note) {
 	j, b := n.job, n.job.book
 	if !j.paid {
@@ -618,27 +611,25 @@
 type fleet struct {
 	*Gateway
 	part
-	servers []*server // by index; never forgotten, as their outcomes may come late
+	places  map[uint32]*server
+	servers []*server // the same; the gone are forgotten once nothing is out there
 	up      []*server // ready, in the order in which they were first named
 	took    last[spent]
 	kinds   map[int]last[time.Duration] // answer times by kind of server
 	load    last[answer]                // of warm servers
 }
 
-// spent is the part of its soft limit that a push took, and until when that tells how long one takes now:
-// what was sent into a queue that is gone comes back late.
+// spent is the part of its soft limit that a push took, and until when that tells of now: queues pass.
 type spent struct {
 	until time.Duration
 	part  float64
 }
 
-// answer tells when a warm server answered, and how many warm ones there were.
 type answer struct {
 	at   time.Duration
 	warm int
 }
 
-// fate is when a server last did well and badly in a lane.
 type fate struct{ good, bad time.Duration }
 
 // server is one server's actor.
@@ -648,7 +639,8 @@
 	Listed
 	out     []*job
 	fates   []fate // by lane
-	full    int    // times turned away in a row
+	ill     int    // failures since the latest answer
+	failed  time.Duration
 	answers last[time.Duration]
 	share   float64 // part of a push that we might send at the time grown, while it is cold
 	grown   time.Duration
@@ -670,15 +662,14 @@
 		}
 	}
 	for _, l := range n.list {
-		i, known := f.places[l.Server]
-		if !known {
-			i = len(f.servers)
-			f.places[l.Server] = i
-			f.servers = append(f.servers, &server{Gateway: f.Gateway, fates: make([]fate, len(f.lanes))})
+		s := f.places[l.Server]
+		if s == nil {
+			s = &server{Gateway: f.Gateway, fates: make([]fate, len(f.lanes))}
+			f.places[l.Server] = s
+			f.servers = append(f.servers, s)
 		}
-		s := f.servers[i]
 		if s.Since != l.Since {
-			s.answers, s.full = last[time.Duration]{}, 0 // a new life
+			s.answers, s.ill, s.failed = last[time.Duration]{}, 0, 0 // a new life
 			clear(s.fates)
 			s.share, s.grown = f.chance.Float64(), f.now
 		}
@@ -688,6 +679,13 @@
 		}
 	}
 	f.up = slices.DeleteFunc(f.up, func(s *server) bool { return s.Stage != Ready })
+	f.servers = slices.DeleteFunc(f.servers, func(s *server) bool {
+		over := s.Stage == Gone && len(s.out) == 0
+		if over {
+			delete(f.places, s.Server)
+		}
+		return over
+	})
 }
 
 // warmth is the part of its full capacity that a server surely has at a time.
@@ -699,7 +697,6 @@
 	return min(1, s.site.ColdFrom+(1-s.site.ColdFrom)*max(grown, 0))
 }
 
-// warm counts the warm servers.
 func (f *fleet) warm() int {
 	n := 0
 	for _, s := range f.up {
@@ -710,8 +707,8 @@
 	return n
 }
 
-// apart is the time between this gateway's pushes to a warm server, by their last answers, which stand when
-// none is left, as in a deploy; answers of drained ones tell nothing.
+// apart is the time between this gateway's pushes to a warm server, by the last answers of such; these stand
+// when none is left, as in a deploy.
 func (f *fleet) apart() time.Duration {
 	n := len(f.load.items)
 	if n < boundLeast {
@@ -723,8 +720,8 @@
 }
 
 // ripe tells whether a cold server may have its next push from us: its share grows by what a warm one gets,
-// times the least warmth that it can have, from a start drawn by lot. It guards against pushing over a
-// server that has just started, also by hundreds of gateways that have a push to spare each.
+// times its least warmth, from a start drawn by lot. It guards against pushing over a server that has just
+// started, also by hundreds of gateways that have a push to spare each.
 func (s *server) ripe() bool {
 	mean := (s.warmth(s.grown) + s.warmth(s.now)) / 2
 	return s.warmth(s.now) >= 1 || s.share+mean*float64(s.now-s.grown)/float64(s.fleet.apart()) >= 1
@@ -760,7 +757,7 @@
 	for _, s := range f.servers {
 		for _, j := range s.out {
 			if age := f.now - j.sentAt(); age < j.row.silence() {
-				parts = append(parts, float64(age)/float64(j.row.soft)) // what is silent is not slow
+				parts = append(parts, float64(age)/float64(j.row.SoftLimit)) // what is silent is not slow
 			}
 		}
 	}
@@ -774,10 +771,8 @@
 }
 
 // sick tells whether a server is to be set aside for a lane, whatever the trouble looks like: fast errors and
-// refused connects (which would draw tasks, as few are out there), turning away, or silence. One failure
-// counts: healthy servers hardly ever fail, and hundreds of gateways see no more. It counts for its lane, as
-// a server may serve the others, and for lanes not tried there; after a while it is tried again. Harm: a good
-// server that failed once is left alone for that while.
+// refused connects (which draw tasks, as few are out there), turning away, silence. It counts for its lane
+// and for those not tried there, as others may be served. Harm: a good server is left alone for a while.
 func (s *server) sick(lane int) bool {
 	told := s.fates[lane]
 	for _, other := range s.fates {
@@ -790,8 +785,27 @@
 			return true
 		}
 	}
-	while := max(asideLeast, time.Duration(asideTimes*float64(s.fleet.apart())))
-	return told.bad > told.good && s.now < told.bad+while
+	return told.bad > told.good && s.now < told.bad+s.fleet.while()
+}
+
+func (f *fleet) while() time.Duration {
+	return max(asideLeast, time.Duration(asideTimes*float64(f.apart())))
+}
+
+// proof is how ill a server must be. One failure does: healthy servers hardly ever fail, and hundreds of
+// gateways see no more. Two in a row where they strike everywhere, as spoilt answers do: by one each would be
+// set aside in turn, and the rest overrun. Harm: a bad one then gets a push more.
+func (f *fleet) proof() int {
+	struck := 0
+	for _, s := range f.up {
+		if s.failed > 0 && f.now < s.failed+2*f.while() {
+			struck++
+		}
+	}
+	if float64(struck) <= max(struckLeast, struckPart*float64(len(f.up))) {
+		return illLeast
+	}
+	return 2 * illLeast
 }
 
 // silence is how long a push may have no answer before it counts as lost.
@@ -827,8 +841,7 @@
 // spell is how long a task waits for a server, and is told to stay away if it finds none or its pushes fail.
 func (f *fleet) spell() time.Duration { return time.Duration(waitPart * float64(f.tightest)) }
 
-// find draws two servers at random and takes the one that our own counts favour. Where none can be used
-// now, it says until when the task may wait for one.
+// find draws two servers at random and takes the one that our own counts favour, or says how long to wait.
 func (f *fleet) find(j *job) (*server, time.Duration) {
 	strange := 0
 	for _, s := range f.up {
@@ -866,13 +879,11 @@
 	case len(f.up) == 0:
 		return nil, j.soft
 	case len(well) == 0:
-		return nil, j.soft - j.row.soft + f.spell()
+		return nil, j.soft - j.row.SoftLimit + f.spell()
 	}
 	f.chance.Shuffle(len(well), func(i, k int) { well[i], well[k] = well[k], well[i] })
-	if len(well) > 1 && well[1].fullness() < well[0].fullness() {
-		return well[1], 0
-	}
-	return well[0], 0
+	two := well[:min(len(well), 2)]
+	return slices.MinFunc(two, func(a, b *server) int { return cmp.Compare(a.fullness(), b.fullness()) }), 0
 }
 
 // fullness is what the draw of two goes by: what we have out there, and how long servers of its kind take.
@@ -892,7 +903,6 @@
 	return full * float64(all) / float64(len(kind.items)+1)
 }
 
-// carry pushes a task.
 func (s *server) carry(n note) {
 	j := n.job
 	s.share, s.grown = 0, s.now
@@ -907,15 +917,17 @@
 	if i := slices.Index(s.out, j); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
+	worse := 0
 	switch p.Outcome {
 	case Answered:
-		s.full, s.fates[j.Lane].good = 0, s.now
+		s.ill, s.fates[j.Lane].good = 0, s.now
 		s.answers.add(samplesRate, s.now)
 	case Full:
-		if s.full++; s.full >= fullLeast {
-			s.fates[j.Lane].bad = s.now
-		}
+		worse = 1
 	case Errored, TimedOut, NoConnect, Reset:
+		worse, s.failed = illLeast, s.now
+	}
+	if s.ill += worse; worse > 0 && s.ill >= s.fleet.proof() {
 		s.fates[j.Lane].bad = s.now
 	}
 	if sick := s.sick(j.Lane); sick != s.aside {
@@ -929,7 +941,7 @@
 
 // learn takes a sample of an outcome for the fleet as a whole. Turned away counts as slow.
 func (f *fleet) learn(n note) {
-	soft, s := n.job.row.soft, n.job.pushes[n.push.Number].server
+	soft, s := n.job.row.SoftLimit, n.job.pushes[n.push.Number].server
 	switch n.push.Outcome {
 	case Full:
 		f.took.add(samplesRate, spent{f.now + soft, 1})
@@ -953,7 +965,6 @@
 	part
 }
 
-// lapsed ends a task whose client has gone.
 func (c *course) lapsed(n note) {
 	n.job.over = true
 	c.close(n.job)
@@ -966,11 +977,7 @@
 	push.ended, push.idle = true, p.Outcome == Full || p.Outcome == NoConnect || p.Outcome == Moot
 	j.over = j.over || p.Done
 	if p.Outcome == Answered && j.paid {
-		units := p.Billed
-		if units <= 0 {
-			units = j.Units
-		}
-		c.post(&c.desk.part, note{what: c.desk.settled, job: j, units: units})
+		c.post(&c.desk.part, note{what: c.desk.settled, job: j, units: cmp.Or(p.Billed, j.Units)})
 	}
 	if j.over {
 		c.close(j)
@@ -991,21 +998,17 @@
 		return
 	}
 	j.over = true
-	if c.site.Cancelling {
-		for i, s := range j.pushes {
-			if !s.ended {
-				c.host.Cancel(j.ID, i)
-			}
+	for i, s := range j.pushes {
+		if !s.ended && c.site.Cancelling {
+			c.host.Cancel(j.ID, i)
 		}
 	}
-	if _, reject := j.may(c.now, nil, &c.site); reject {
-		away := min(max(n.away, 0), c.site.MaxRetryAfter)
-		if !c.site.RetryAfter {
-			away = 0
-		}
-		c.host.Reject(j.ID, away)
-	} else {
+	if _, reject := j.may(c.now, nil, &c.site); !reject {
 		c.host.Terminate(j.ID)
+	} else if c.site.RetryAfter {
+		c.host.Reject(j.ID, min(max(n.away, 0), c.site.MaxRetryAfter))
+	} else {
+		c.host.Reject(j.ID, 0)
 	}
 	c.close(j)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -658,3 +658,59 @@
 		t.Errorf("%d wakes left behind by a task that is over", len(s.wakes))
 	}
 }
+
+func TestOneFailureTellsLittleWhereFailuresStrikeEverywhere(t *testing.T) {
+	s := begin(t, site(), 6)
+	for id := uint32(1); id <= 300; id++ { // one answer in six is spoilt, at each server alike
+		s.take(id, 2, 0, 1)
+		if p := &s.pushes[len(s.pushes)-1]; p.server == id%6+1 {
+			s.end(id, Reset)
+		} else {
+			s.end(id, Answered)
+		}
+		s.pass(20 * ms)
+	}
+	aside := 0
+	for _, server := range s.g.fleet.up {
+		if server.sick(2) {
+			aside++
+		}
+	}
+	if aside > 1 {
+		t.Errorf("%d of six servers are set aside", aside)
+	}
+	for range 3 { // one that does nothing else is
+		s.g.fleet.up[0].ended(note{job: &job{Task: Task{Lane: 2}, row: &s.g.lanes[2], pushes: []sent{{server: s.g.fleet.up[0]}}},
+			push: Push{Outcome: Reset}})
+	}
+	if !s.g.fleet.up[0].sick(2) {
+		t.Error("a server that fails always is not set aside")
+	}
+}
+
+func TestCustomersWhoCameOnceAndServersThatAreGoneAreForgotten(t *testing.T) {
+	s := begin(t, site(), 2)
+	for id := uint32(1); id <= 500; id++ {
+		s.g.Take(s.now, Task{ID: id, Customer: uint64(id), Width: 2, Units: 1, Expires: s.now + 2*time.Second})
+		s.counter()
+		s.end(id, Answered)
+		s.g.List(s.now, ListChanges, []Listed{{Server: 100 + id, Stage: Ready, Power: 1}, {Server: 99 + id, Stage: Gone}})
+		s.pass(time.Second)
+	}
+	if n, m := len(s.g.desk.books), len(s.g.desk.customers); n > 130 || n != m {
+		t.Errorf("%d books of %d customers are kept", n, m)
+	}
+	if n, m := len(s.g.fleet.servers), len(s.g.fleet.places); n > 4 || n != m {
+		t.Errorf("%d servers in %d places are kept", n, m)
+	}
+}
+
+func TestNewCustomerFindsTheShareOfItsCeilingThatItHasNotUsed(t *testing.T) {
+	s := begin(t, site(), 2)
+	s.take(1, 0, 2, 2)
+	s.want("reject 1 away 400ms", 1) // nothing has come yet
+	s.pass(5 * time.Second)
+	s.g.Take(s.now, Task{ID: 2, Plan: 2, Customer: 77, Width: 2, Units: 2, Expires: s.now + 2*time.Second})
+	s.counter()
+	s.wantPushed(2, 1)
+}
