A total counts however late it comes; a crowded counter is asked first for customers near their limit

Checked with a probe (times of calls in the log, not kept): every answer took 14 ms or more, a third over 20, a seventh over the 30 ms after which the gate dropped it; only those under 15 raised the chance of a call (desk.counted: CountLimit/2), so it stood at 0.05 to 0.3 with 80 calls a second from four gateways. Asked at 105 a second, three in ten are late or turned away: this counter bears no call a task.

Now: the gate ends no call, as the protocol sets callers no time-out; a task waits a quarter of its soft limit (callPart, as before) and a later total still counts for the customer; a connection silent for a second is taken for dead by a deadline of its own. Any answer within the stated limit raises the chance of a call, any other outcome lowers it. While calls are left out, the chance is taken to the power of what the store is believed to hold, so customers near their limit are asked for first. Covers a counter too small, slow or far; harm: customers with room are charged later, so units beyond quota are seen later by others.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -5,13 +5,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"math"
 	"net"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,18 +31,10 @@
 // Counter is the few connections.
 type Counter struct{ lines [linesMost]*line }
 
-// The states of a call.
-const (
-	queued int32 = iota
-	written
-	withdrawn
-)
-
 type call struct {
-	text  string
-	told  func(float64, policy.Outcome)
-	state atomic.Int32
-	at    time.Time // when it was written
+	text string
+	told func(float64, policy.Outcome)
+	at   time.Time // when it was written
 }
 
 // line is a share of the names: the calls for them, in order, and the connection that new ones go on.
@@ -81,8 +74,8 @@
 }
 
 // Add adds to a number and tells the total, in the order of the calls for that number: they share a
-// connection. Withdraw tells whether the call never went out, and never will.
-func (c *Counter) Add(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) (withdraw func() bool) {
+// connection.
+func (c *Counter) Add(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) {
 	text := "incr " + strconv.FormatUint(name, 10) + " " + strconv.FormatFloat(units, 'f', -1, 64) + " " +
 		strconv.FormatInt(max(keep, nameLife).Milliseconds(), 10)
 	made := &call{text: text, told: told}
@@ -91,7 +84,15 @@
 	default:
 		go told(0, policy.NoConnect)
 	}
-	return func() bool { return made.state.CompareAndSwap(queued, withdrawn) }
+}
+
+// wait sets until when the oldest answer may come.
+func (k *link) wait() {
+	until := time.Time{}
+	if len(k.out) > 0 {
+		until = k.out[0].at.Add(silentMost)
+	}
+	_ = k.sock.SetReadDeadline(until)
 }
 
 // write writes calls as they come, on a connection that it brings up when there is none. Those that come
@@ -113,19 +114,18 @@
 	}
 }
 
-// put writes a call that was not withdrawn.
+// put writes a call.
 func (l *line) put(k *link, c *call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !c.state.CompareAndSwap(queued, written) {
-		return
-	}
 	if l.link != k { // it went down, or the counter moved, a moment ago
 		c.told(0, policy.NoConnect)
 		return
 	}
 	c.at = time.Now()
-	k.out = append(k.out, c)
+	if k.out = append(k.out, c); len(k.out) == 1 {
+		k.wait()
+	}
 	_ = k.sock.SetWriteDeadline(c.at.Add(writeLimit))
 	_, _ = k.conn.W.WriteString(c.text + "\r\n") // an error stays until the flush
 }
@@ -133,9 +133,7 @@
 // refuse tells a call, and those that waited with it, that there is no connection.
 func (l *line) refuse(c *call) {
 	for {
-		if c.state.CompareAndSwap(queued, withdrawn) {
-			c.told(0, policy.NoConnect)
-		}
+		c.told(0, policy.NoConnect)
 		select {
 		case c = <-l.waiting:
 		default:
@@ -148,11 +146,8 @@
 func (l *line) up() *link {
 	l.mu.Lock()
 	k, addr := l.link, l.addr
-	silent := k != nil && len(k.out) > 0 && time.Since(k.out[0].at) > silentMost
 	l.mu.Unlock()
-	if silent {
-		l.down(k, "silent")
-	} else if k != nil {
+	if k != nil {
 		return k
 	}
 	sock, err := net.DialTimeout("tcp", addr, l.within)
@@ -211,9 +206,12 @@
 	for {
 		text, err := k.conn.R.ReadSlice('\n')
 		why := "a spoilt answer"
-		if err == nil {
+		switch {
+		case err == nil:
 			why = l.match(k, string(text))
-		} else if err != bufio.ErrBufferFull {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			why = "silent"
+		case err != bufio.ErrBufferFull:
 			why = err.Error()
 		}
 		if why != "" {
@@ -237,6 +235,7 @@
 	}
 	c := k.out[0]
 	k.out = k.out[1:]
+	k.wait()
 	c.told(total, how)
 	if l.link != k && len(k.out) == 0 {
 		return "the counter has moved"
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -18,9 +18,8 @@
 // Outside is what the gate asks of the network. Neither may wait, nor call back before it returns: the gate's
 // lock is held, and a call back takes it.
 type Outside struct {
-	// Count adds to a number of the counter. Told is called once with the total. Withdraw takes a call back
-	// and tells whether it had not gone out yet.
-	Count func(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) (withdraw func() bool)
+	// Count adds to a number of the counter. Told is called once, with the total, however late that comes.
+	Count func(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome))
 	// Probe asks a server for its load.
 	Probe func(s Server, told func(Result))
 }
@@ -86,7 +85,6 @@
 	wakes  wakes
 	asked  map[uint64]*wake // the latest by token
 	calls  []*call          // to the counter, oldest first; the answered leave with those before them
-	limit  time.Duration
 	alarm  *time.Timer
 	due    time.Duration // when the alarm rings; 0: never
 	watch  chan struct{}
@@ -95,11 +93,10 @@
 
 // call is a call to the counter.
 type call struct {
-	name     uint64
-	at       time.Duration
-	answer   *policy.Tally // nil: none yet
-	over     bool          // told to the module
-	withdraw func() bool
+	name   uint64
+	at     time.Duration
+	answer *policy.Tally // nil: none yet
+	over   bool          // told to the module
 }
 
 // New makes the instance. All gateways read the same wall clock once, at their start, and go on from there by
@@ -107,7 +104,7 @@
 func New(site policy.Deployment, seed int64, outside Outside, log *zap.Logger) (*Gate, error) {
 	start := time.Now()
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
-		errands: map[uint32]*Errand{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{}, limit: site.CountLimit,
+		errands: map[uint32]*Errand{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
 		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
@@ -128,10 +125,7 @@
 		g.calls = g.calls[1:]
 	}
 	next := time.Duration(0)
-	if len(g.calls) > 0 {
-		next = g.calls[0].at + g.limit
-	}
-	if len(g.wakes) > 0 && (next == 0 || g.wakes[0].at < next) {
+	if len(g.wakes) > 0 {
 		next = g.wakes[0].at
 	}
 	if next != 0 && next != g.due { // each ring that is not needed would wake the whole process
@@ -141,7 +135,7 @@
 	g.mu.Unlock()
 }
 
-// Tick lets time pass until the context ends: it wakes the module and ends calls to the counter in time.
+// Tick lets time pass until the context ends: it wakes the module.
 func (g *Gate) Tick(ctx context.Context) {
 	for {
 		select {
@@ -151,19 +145,6 @@
 		}
 		now := g.enter()
 		g.due = 0
-		for _, c := range g.calls {
-			if c.at+g.limit > now {
-				break
-			}
-			if c.over {
-				continue
-			}
-			how := policy.TimedOut
-			if c.withdraw() {
-				how = policy.NoConnect
-			}
-			g.counted(c, 0, how)
-		}
 		for len(g.wakes) > 0 && g.wakes[0].at <= now {
 			w := heap.Pop(&g.wakes).(*wake)
 			delete(g.asked, w.token)
@@ -316,12 +297,10 @@
 func (g host) Count(name uint64, keep time.Duration, units float64) {
 	c := &call{name: name, at: g.now()}
 	g.calls = append(g.calls, c)
-	c.withdraw = g.outside.Count(name, units, keep, func(total float64, how policy.Outcome) {
+	g.outside.Count(name, units, keep, func(total float64, how policy.Outcome) {
 		g.enter()
 		defer g.leave()
-		if c.answer == nil { // else it was too late
-			g.counted(c, total, how)
-		}
+		g.counted(c, total, how)
 	})
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	callPart    = 0.25                   // part of the soft limit that a check may take
 	heedLess    = 0.6                    // a failed call makes the next this much less likely
 	heedMore    = 1.25                   // a quick answer makes it more likely: a dozen of them end a pause
+	needLeast   = 0.25                   // the power of that chance at an empty store; at a full one it is 1
 	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
 	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
 	rampTimes   = 4.0                    // so many answer times' units, a thin customer's last, go by lot
@@ -427,12 +428,11 @@
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: j.row.Patience})
 	case b.plan.Rate > 0 && b.left+b.assumed < j.Units && len(b.pending) == 0:
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
-	case d.site.HasCounter && b.plan.Rate > 0 && !spare && d.chance.Float64() < d.heed:
+	case d.site.HasCounter && b.plan.Rate > 0 && !spare &&
+		d.chance.Float64() < math.Pow(d.heed, max(b.left/b.plan.Burst, needLeast)):
 		j.asked = true
 		d.charge(b, j, 1)
-		if early := time.Duration(callPart * float64(j.row.SoftLimit)); early < d.site.CountLimit {
-			d.wake(wakeCheck, j.ID, early)
-		}
+		d.wake(wakeCheck, j.ID, time.Duration(callPart*float64(j.row.SoftLimit)))
 	default:
 		d.decide(j, false)
 	}
@@ -472,11 +472,10 @@
 		delete(d.calls, n.tally.Name)
 	}
 	read := n.tally.Outcome == Answered
-	switch {
-	case !read:
-		d.heed = max(d.heed*heedLess, heedLeast)
-	case n.tally.Took < d.site.CountLimit/2:
+	if read && n.tally.Took < d.site.CountLimit {
 		d.heed = min(d.heed*heedMore, 1)
+	} else {
+		d.heed = max(d.heed*heedLess, heedLeast)
 	}
 	if !read && n.tally.Outcome != TimedOut {
 		c.book.pending = append(c.book.pending, c.charges...)
@@ -489,6 +488,7 @@
 		d.read(c, n.tally.Total)
 	}
 	if c.job != nil && c.job.asked {
+		d.host.Forget(uint64(c.job.ID)*wakeKinds + wakeCheck)
 		d.decide(c.job, read)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -714,3 +714,34 @@
 	s.counter()
 	s.wantPushed(2, 1)
 }
+
+func TestCrowdedCounterIsAskedForCustomersNearTheirLimit(t *testing.T) {
+	s := begin(t, site(), 2)
+	asked := map[int]int{}
+	for id := uint32(1); id <= 400; id++ {
+		plan := int(id % 2)
+		s.g.desk.heed = heedLeast
+		b := s.g.desk.open(Task{Customer: uint64(plan), Plan: plan})
+		b.filled, b.left = s.now, []float64{4000, 2}[plan] // one has all of its store, one hardly anything
+		before := len(s.calls)
+		s.g.Take(s.now, Task{ID: id, Customer: uint64(plan), Plan: plan, Width: 2, Units: 1, Expires: s.now + 2*time.Second})
+		asked[plan] += len(s.calls) - before
+		s.end(id, Answered)
+	}
+	if asked[0] > 30 || asked[1] < 60 {
+		t.Errorf("asked %d times for a customer with all of its store, %d times for one near its limit", asked[0], asked[1])
+	}
+}
+
+func TestLateTotalIsWaitedForAndCounts(t *testing.T) {
+	s := begin(t, site(), 2)
+	s.down = true
+	s.take(1, 0, 1, 1)
+	s.pass(60 * ms) // beyond the limit that the simulator's counter has
+	s.wantPushed(1, 0)
+	s.g.Counted(s.now, Tally{Name: s.calls[0].name, Total: 50, Took: 60 * ms})
+	s.want("reject 1 away 500ms", 1)
+	if s.g.desk.heed >= 1 {
+		t.Error("a late answer is no sign of a crowded counter")
+	}
+}
