Clients' words are held to the protocol; who says nothing is closed in time; gone servers leave the gate

Read beside the protocol, in front.go: terms() took units beyond what a task can have, any 'first' and 'spread', a name twice, numbers such as 0x1p9; parse() took customers from 2^33, empty ids and ids of open tasks, bodies on queries; a client that said nothing stayed for good; a connection that had just come was kept, and clients' idle ones ended for it, by evict() and by the crowded flag; Part() read on from one with 60 MB to send for a second.

Now each of these gets an error line; what is in doubt is left to the servers. Connections that say nothing end after 1.5 s, half a command after 1 s, idle ones after 10 s. For a place, those that never asked go first, then the longest idle; one answered in the last 2 s keeps its place while some that just came say nothing. One connection has 16 tasks in hand, not 100, and rests 10 ms after a command that could not be used, so that a flood takes no CPU or memory of others. Harm: a client that pipelines more than 16 waits for its own answers.

In gate: servers that are gone leave, and numbers are not used again; a new name at an old address gets connections of its own (fleet keyed them by address alone).

--- a/cmd/harrierhoist/main.go
+++ b/cmd/harrierhoist/main.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	clients := front.New(site, g, servers, told.OnOne, each, log)
+	clients := front.New(site, g, servers, each, log)
 	listener, err := net.Listen("tcp", told.Listen)
 	if err != nil {
 		return err
@@ -77,6 +77,7 @@
 	go g.Tick(ctx)
 	go list.Watch(ctx)
 	go servers.Sweep(ctx)
+	go clients.Sweep(ctx)
 	go func() {
 		select { // a list that may be old serves where discovery is silent
 		case <-list.First():
--- a/internal/boot/handed.go
+++ b/internal/boot/handed.go
@@ -26,7 +26,6 @@
 	Halls, Kinds  []string      // their names; the module knows them by their places
 	ConnectWithin time.Duration // a connection not up by then is none
 	IdleLimit     time.Duration // servers close what stands idle so long
-	OnOne         int           // tasks at once on one connection
 
 	Known json.RawMessage // the servers as last had, in discovery's form
 }
@@ -78,7 +77,7 @@
 		Sockets: file.Limits.Sockets, Halls: p.List("Dcs"), Kinds: p.List("Models"),
 		ConnectWithin: Span(p.Number("PolicyLimits.ConnectTimeoutMs")),
 		IdleLimit:     Span(p.Number("PolicyLimits.IdleCloseMs")),
-		OnOne:         max(p.Int("PolicyLimits.StreamsPerConn"), 1), Known: file.Known}
+		Known:         file.Known}
 	h.Deployment, err = Deployment(p)
 	if err == nil && h.Deployment.HasCounter && h.Counter == "" {
 		err = errors.New("configuration: counter is missing")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"net"
 	"os"
@@ -35,10 +36,15 @@
 
 	most int
 	mu   sync.Mutex
-	open int                // connections that are up, or coming up
-	kept map[string][]*kept // idle ones by address, the latest used last
+	open int              // connections that are up, or coming up
+	kept map[spot][]*kept // idle ones, the latest used last
 }
 
+// spot is where a connection goes: a new server at an old address gets none of the earlier one's.
+type spot struct{ name, dial string }
+
+func at(s gate.Server) spot { return spot{s.Name, s.Dial} }
+
 // kept is a connection and when it was last used.
 type kept struct {
 	*resp.Conn
@@ -48,7 +54,7 @@
 // New makes a fleet that holds at most so many connections.
 func New(connectWithin, idleLimit time.Duration, reports []string, most int) *Fleet {
 	return &Fleet{connectWithin: connectWithin, idleMost: idleLimit / idlePart, reports: reports, most: most,
-		kept: map[string][]*kept{}}
+		kept: map[spot][]*kept{}}
 }
 
 // Parcel is what a push carries: the command as the client worded it, but for the time that we will wait.
@@ -71,7 +77,7 @@
 	if ctx.Err() != nil {
 		return gate.Result{Outcome: policy.Moot}, nil
 	}
-	c, err := f.take(ctx, to.Dial, until)
+	c, err := f.take(ctx, at(to), until)
 	if err != nil {
 		return gate.Result{Outcome: unsent(ctx)}, nil
 	}
@@ -81,7 +87,7 @@
 	if how == answered {
 		out, value, good := f.result(reply)
 		if good && wanted {
-			f.keep(to.Dial, c)
+			f.keep(at(to), c)
 		} else {
 			f.drop(c) // of no use after a spoilt answer; given up as it came, a good one counts all the same
 		}
@@ -100,7 +106,7 @@
 	if !wanted || how == silent {
 		// No answer: the machine may be gone without a word. Connections to it that were last used before are
 		// dropped, as they would be silent too; if it was one long task, they are made again.
-		f.sweep(to.Dial, began)
+		f.sweep(at(to), began)
 	}
 	return out, nil
 }
@@ -204,7 +210,7 @@
 // Probe asks a server for its load, or only whether it is there where servers tell no load.
 func (f *Fleet) Probe(to gate.Server, told func(gate.Result)) {
 	until := time.Now().Add(f.connectWithin)
-	c, err := f.take(context.Background(), to.Dial, until)
+	c, err := f.take(context.Background(), at(to), until)
 	if err != nil {
 		told(gate.Result{Outcome: policy.NoConnect})
 		return
@@ -219,7 +225,7 @@
 		told(gate.Result{Outcome: policy.TimedOut})
 		return
 	}
-	f.keep(to.Dial, c)
+	f.keep(at(to), c)
 	out := gate.Result{Outcome: policy.Errored}
 	if reply.Kind != '-' {
 		out.Outcome = policy.Answered
@@ -232,9 +238,9 @@
 }
 
 // take gives an idle connection that stands, or a new one.
-func (f *Fleet) take(ctx context.Context, dial string, until time.Time) (*kept, error) {
+func (f *Fleet) take(ctx context.Context, to spot, until time.Time) (*kept, error) {
 	for {
-		c := f.idle(dial)
+		c := f.idle(to)
 		if c == nil {
 			break
 		}
@@ -247,7 +253,7 @@
 		return nil, errors.New("no connection to spare")
 	}
 	dialer := net.Dialer{Timeout: f.connectWithin, Deadline: until}
-	conn, err := dialer.DialContext(ctx, "tcp", dial)
+	conn, err := dialer.DialContext(ctx, "tcp", to.dial)
 	if err != nil {
 		f.release()
 		return nil, err
@@ -256,19 +262,19 @@
 }
 
 // idle takes the idle connection used last, of those that have rested if there are any.
-func (f *Fleet) idle(dial string) *kept {
+func (f *Fleet) idle(to spot) *kept {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := f.kept[dial]
+	list := f.kept[to]
 	if len(list) == 0 {
 		return nil
 	}
-	at := len(list) - 1
-	for at > 0 && time.Since(list[at].used) < restLeast {
-		at--
+	i := len(list) - 1
+	for i > 0 && time.Since(list[i].used) < restLeast {
+		i--
 	}
-	c := list[at]
-	f.kept[dial] = slices.Delete(list, at, at+1)
+	c := list[i]
+	f.kept[to] = slices.Delete(list, i, i+1)
 	return c
 }
 
@@ -280,18 +286,18 @@
 		f.mu.Unlock()
 		return true
 	}
-	var at string
-	for dial, list := range f.kept {
-		if len(list) > 0 && (at == "" || list[0].used.Before(f.kept[at][0].used)) {
-			at = dial
+	var oldest spot
+	var c *kept
+	for to, list := range f.kept {
+		if len(list) > 0 && (c == nil || list[0].used.Before(c.used)) {
+			oldest, c = to, list[0]
 		}
 	}
-	if at == "" {
+	if c == nil {
 		f.mu.Unlock()
 		return false
 	}
-	c := f.kept[at][0]
-	f.kept[at] = f.kept[at][1:]
+	f.kept[oldest] = f.kept[oldest][1:]
 	f.mu.Unlock()
 	_ = c.Close() // the new one takes its place
 	return true
@@ -310,14 +316,14 @@
 }
 
 // keep makes a connection idle, unless something stands behind the reply: it would be taken for the next one's.
-func (f *Fleet) keep(dial string, c *kept) {
+func (f *Fleet) keep(to spot, c *kept) {
 	if !c.Drained() {
 		f.drop(c)
 		return
 	}
 	c.used = time.Now()
 	f.mu.Lock()
-	f.kept[dial] = append(f.kept[dial], c)
+	f.kept[to] = append(f.kept[to], c)
 	f.mu.Unlock()
 }
 
@@ -332,28 +338,25 @@
 		case <-every.C:
 		}
 		f.mu.Lock()
-		var all []string
-		for dial := range f.kept {
-			all = append(all, dial)
-		}
+		all := slices.Collect(maps.Keys(f.kept))
 		f.mu.Unlock()
-		for _, dial := range all {
-			f.sweep(dial, time.Now().Add(-f.idleMost))
+		for _, to := range all {
+			f.sweep(to, time.Now().Add(-f.idleMost))
 		}
 	}
 }
 
 // sweep drops a server's idle connections that were last used before a time.
-func (f *Fleet) sweep(dial string, before time.Time) {
+func (f *Fleet) sweep(to spot, before time.Time) {
 	f.mu.Lock()
-	list := f.kept[dial]
+	list := f.kept[to]
 	n := 0
 	for n < len(list) && list[n].used.Before(before) {
 		n++
 	}
 	old := list[:n]
-	if f.kept[dial] = list[n:]; n == len(list) {
-		delete(f.kept, dial)
+	if f.kept[to] = list[n:]; n == len(list) {
+		delete(f.kept, to)
 	}
 	f.open -= n
 	f.mu.Unlock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,10 +3,12 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"math"
 	"net"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,26 +26,36 @@
 const (
 	keepTaking = 450 * time.Millisecond // after SIGTERM clients come for 0.4 s, and every limit has 50 ms more
 	wordsMost  = 4                      // of a command, besides a value
-	talkMost   = 3 * time.Second        // the longest deadline counted: who takes longer over a command or answer has gone
-	freshMost  = 250 * time.Millisecond // who has just connected is about to send; after this it is idle like others
+	talkMost   = 3 * time.Second        // the longest deadline counted: who takes longer over an answer has gone
+	wordsTime  = time.Second            // who takes longer over a command is no client; with mumMost under 3 s
+	mumMost    = 1500 * time.Millisecond
+	keepLeast  = 2 * time.Second        // clients ask again within this, if they do
+	idleMost   = 10 * time.Second       // a client that asks no more has gone, or opens another connection
+	lookEvery  = 250 * time.Millisecond // at idle connections
+	freshMost  = 100 * time.Millisecond // who has just connected is about to send; after this it is idle like others
+	crowdLook  = 20 * time.Millisecond  // how often a place is looked for
 	partMost   = time.Second            // a client whose words were no command has so long to read that
+	rudePause  = 10 * time.Millisecond  // between commands of a client after one that could not be used
+	atOnceMost = 16                     // tasks in hand of one connection: clients send one, floods hundreds
+	customers  = 1 << 33                // their numbers are below
 )
 
 // Front owns the connections of clients.
 type Front struct {
-	gate  *gate.Gate
-	fleet *fleet.Fleet
-	log   *zap.Logger
-	lanes map[string]lane
-	plans map[string]int
-	onOne int
-	ready atomic.Bool
-	work  chan work // to carriers that are free
+	gate     *gate.Gate
+	fleet    *fleet.Fleet
+	log      *zap.Logger
+	lanes    map[string]lane
+	plans    map[string]int
+	gateways int
+	units    float64 // the most of a task; 0: not told
+	ready    atomic.Bool
+	work     chan work // to carriers that are free
 
 	places  chan struct{} // one a connection; one more may have come and wait
-	crowded atomic.Bool   // it does wait
 	mu      sync.Mutex
 	clients map[*client]struct{}
+	ids     map[string]struct{} // of open tasks
 	closing atomic.Bool
 	served  chan struct{}  // closed once nothing more is accepted
 	gone    sync.WaitGroup // clients
@@ -51,16 +63,17 @@
 
 type lane struct {
 	number int
-	pure   bool
+	policy.Lane
 }
 
-// New makes a front that holds at most so many connections, with at most so many tasks at once on each.
-func New(site *policy.Deployment, g *gate.Gate, f *fleet.Fleet, onOne, most int, log *zap.Logger) *Front {
-	fr := &Front{gate: g, fleet: f, log: log, lanes: map[string]lane{}, plans: map[string]int{}, onOne: onOne,
+// New makes a front that holds at most so many connections.
+func New(site *policy.Deployment, g *gate.Gate, f *fleet.Fleet, most int, log *zap.Logger) *Front {
+	fr := &Front{gate: g, fleet: f, log: log, lanes: map[string]lane{}, plans: map[string]int{},
+		gateways: site.Gateways, units: site.MostUnits, ids: map[string]struct{}{},
 		places: make(chan struct{}, max(most, 1)), clients: map[*client]struct{}{},
 		served: make(chan struct{}), work: make(chan work)}
 	for i, l := range site.Lanes {
-		fr.lanes[l.Name] = lane{i, l.Effect == policy.Pure}
+		fr.lanes[l.Name] = lane{i, l}
 	}
 	for i, p := range site.Plans {
 		fr.plans[p.Name] = i
@@ -85,7 +98,7 @@
 			continue
 		}
 		f.place()
-		c := &client{front: f, conn: resp.NewConn(conn), turns: make(chan struct{}, f.onOne),
+		c := &client{front: f, conn: resp.NewConn(conn), turns: make(chan struct{}, atOnceMost),
 			out: map[*gate.Errand]struct{}{}, used: time.Now(), fresh: true}
 		f.mu.Lock()
 		f.clients[c] = struct{}{}
@@ -95,39 +108,78 @@
 	}
 }
 
-// place takes a place for a connection that has come; where none is free, the client idle longest loses its own.
-// It is not asked before: each connection that closes may cross a task on its way.
+// place takes a place for a connection that has come; where none is free, another loses its own. It is not asked
+// before: each connection that closes may cross a task on its way.
 func (f *Front) place() {
 	select {
 	case f.places <- struct{}{}:
 		return
 	default:
 	}
-	f.crowded.Store(true) // whoever becomes idle leaves
-	defer f.crowded.Store(false)
 	for {
 		f.evict()
 		select {
 		case f.places <- struct{}{}:
 			return
-		case <-time.After(freshMost): // who had just connected and stays mum is idle now
+		case <-time.After(crowdLook): // who had just connected and stays mum is idle by and by
 		}
 	}
 }
 
-// evict ends the connection that has been idle longest.
+// evict ends one idle connection: one that never asked anything if there is any, else the one that has been idle
+// longest. A client that was answered a moment ago keeps its place while some that have just come say nothing
+// yet: a flood of them takes no place from clients.
 func (f *Front) evict() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var oldest *client
-	since := time.Now()
+	type idler struct {
+		*client
+		since time.Time
+		mum   bool
+	}
+	var all []idler
+	young := false
 	for c := range f.clients {
-		if used, idle := c.idle(); idle && used.Before(since) {
-			oldest, since = c, used
+		since, mum, idle := c.idle()
+		young = young || mum && !idle
+		if idle {
+			all = append(all, idler{c, since, mum})
 		}
 	}
-	if oldest != nil {
-		oldest.leave()
+	slices.SortFunc(all, func(a, b idler) int {
+		if a.mum != b.mum {
+			return map[bool]int{true: -1, false: 1}[a.mum]
+		}
+		return a.since.Compare(b.since)
+	})
+	for _, c := range all {
+		if young && !c.mum && time.Since(c.since) < keepLeast {
+			return
+		}
+		if c.leave() {
+			return
+		}
+	}
+}
+
+// Sweep ends connections in time that say nothing, or ask nothing more, until the context ends.
+func (f *Front) Sweep(ctx context.Context) {
+	every := time.NewTicker(lookEvery)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+		f.mu.Lock()
+		for c := range f.clients {
+			since, mum, idle := c.idle()
+			if quiet := time.Since(since); idle && (quiet > idleMost || mum && quiet > mumMost) {
+				c.leave()
+			}
+		}
+		f.mu.Unlock()
 	}
 }
 
@@ -175,7 +227,7 @@
 			return
 		}
 		c.turns <- struct{}{}
-		_ = c.conn.SetReadDeadline(time.Now().Add(talkMost))
+		_ = c.conn.SetReadDeadline(time.Now().Add(wordsTime))
 		cmd, err := c.conn.ReadCommand(wordsMost)
 		_ = c.conn.SetReadDeadline(time.Time{})
 		var bad resp.BadMessage
@@ -191,6 +243,9 @@
 		if t, e, line := c.parse(cmd); line != "" {
 			cmd.Body.Free()
 			go c.answer(turn, func() error { return c.conn.WriteLine(line) })
+			if line != pong {
+				time.Sleep(rudePause) // else one that goes on and on takes all of our time
+			}
 		} else {
 			c.front.hand(work{c, turn, c.admit(t), e})
 		}
@@ -234,6 +289,7 @@
 	c := w.client
 	write := c.do(w.errand, w.what)
 	w.what.Body.Free()
+	c.front.shut(w.what.ID)
 	c.mu.Lock()
 	delete(c.out, w.errand)
 	c.mu.Unlock()
@@ -271,8 +327,7 @@
 	return "-BUSY " + strconv.FormatInt(int64(math.Ceil(float64(away)/float64(time.Millisecond))), 10)
 }
 
-// answer writes an answer when its turn has come. In a front that closes, or that has no place for the next
-// client, the last one ends the connection.
+// answer writes an answer when its turn has come. In a front that closes, the last one ends the connection.
 func (c *client) answer(turn uint, write func() error) {
 	c.order.StartResponse(turn)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(talkMost))
@@ -285,33 +340,36 @@
 	c.mu.Unlock()
 	if err != nil {
 		_ = c.conn.Close()
-	} else if c.front.crowded.Load() || c.front.closing.Load() {
+	} else if c.front.closing.Load() {
 		c.leave()
 	}
 }
 
-// idle tells since when the connection has been idle, if it is: closed then, it costs its client nothing but a
-// new one. Who has just connected has sent a task, or is about to; closed on, it would take that for lost.
-func (c *client) idle() (since time.Time, idle bool) {
+// idle tells since when the connection has been idle, if it is, and whether it never asked anything: closed then,
+// it costs its client nothing but a new one. Who has just connected has sent a task, or is about to; closed on, it
+// would take that for lost.
+func (c *client) idle() (since time.Time, mum, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, c.isIdle()
+	return c.used, c.fresh && c.busy == 0, c.isIdle()
 }
 
 func (c *client) isIdle() bool {
 	return c.busy == 0 && !c.over && (!c.fresh || time.Since(c.used) >= freshMost)
 }
 
-// leave ends the connection if it is idle. What has come and was not read yet is to be read and answered; as the
-// reader takes one byte of a command before it says begin, the rest still stands in the system until then. What
-// crosses the end is not taken: the client can tell, and sends it again elsewhere.
-func (c *client) leave() {
+// leave ends the connection if it is idle, and tells whether it did. What has come and was not read yet is to be
+// read and answered; as the reader takes one byte of a command before it says begin, the rest still stands in the
+// system until then. What crosses the end is not taken: the client can tell, and sends it again elsewhere.
+func (c *client) leave() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isIdle() && c.conn.Quiet() {
-		c.over = true
-		c.conn.Break()
+	if !c.isIdle() || !c.conn.Quiet() {
+		return false
 	}
+	c.over = true
+	c.conn.Break()
+	return true
 }
 
 // begin counts a command whose first byte has come, unless the connection was given up meanwhile.
@@ -345,84 +403,123 @@
 	f.gone.Done()
 }
 
-const late = "-ERR deadline passed"
+const (
+	late = "-ERR deadline passed"
+	pong = "+PONG"
+)
 
-// parse reads a command: a task, or a line that answers it at once.
+// open notes a task's id; false if a task with that id is open.
+func (f *Front) open(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, taken := f.ids[id]
+	f.ids[id] = struct{}{}
+	return !taken
+}
+
+func (f *Front) shut(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ids, id)
+}
+
+// parse reads a command: a task, whose id is open from here on, or a line that answers it at once.
 func (c *client) parse(cmd *resp.Command) (gate.Task, *fleet.Parcel, string) {
 	var t gate.Task
-	verb := strings.ToUpper(cmd.Words[0])
-	switch verb {
-	case "PING":
+	verb := cmd.Words[0]
+	switch {
+	case strings.EqualFold(verb, "PING"):
 		if c.front.ready.Load() {
-			return t, nil, "+PONG"
+			return t, nil, pong
 		}
 		return t, nil, "-ERR not ready"
-	case "SVC.QUERY", "SVC.SUBMIT":
-	default:
+	case verb != "SVC.QUERY" && verb != "SVC.SUBMIT":
 		return t, nil, "-ERR unknown command"
 	}
-	if len(cmd.Words) != wordsMost {
+	query := verb == "SVC.QUERY"
+	if len(cmd.Words) != wordsMost || query != (cmd.Body == nil) {
 		return t, nil, "-ERR wrong number of words"
 	}
 	var err error
-	if t.Customer, err = strconv.ParseUint(cmd.Words[1], 16, 64); err != nil {
-		return t, nil, "-ERR customer is no number"
+	if t.Customer, err = strconv.ParseUint(cmd.Words[1], 16, 64); err != nil || len(cmd.Words[1]) != 16 || t.Customer >= customers {
+		return t, nil, "-ERR no customer"
+	}
+	e := &fleet.Parcel{Verb: verb, Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
+	if line := c.front.terms(&t, e, cmd.Words[3], query); line != "" {
+		return t, nil, line
 	}
-	e := &fleet.Parcel{Verb: cmd.Words[0], Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
-	line := c.front.terms(&t, e, cmd.Words[3], verb == "SVC.QUERY")
 	// The patience counts from the sending. What waited in the system, for a place or while we stood still, is
 	// off it; without that, an answer would come to a client that has gone.
-	if t.Patience -= c.conn.Age(); line == "" && t.Patience <= 0 {
-		line = late
+	if t.Patience -= c.conn.Age(); t.Patience <= 0 {
+		return t, nil, late
 	}
-	return t, e, line
+	if e.ID == "" || !c.front.open(e.ID) {
+		return t, nil, "-ERR no id of its own"
+	}
+	return t, e, ""
 }
 
-// terms reads the list of names and values; unknown names are passed on unread.
+// terms reads the list of names and values, each name once; unknown names are passed on unread. What is out of
+// range is refused here: the module takes what it is handed.
 func (f *Front) terms(t *gate.Task, e *fleet.Parcel, list string, query bool) string {
-	t.Lane, t.Plan, t.Units, t.Width = -1, -1, 1, 1
+	t.Plan, t.Units, t.Width = -1, 1, 1
+	var l *lane
+	key := false
+	var seen []string
 	for at := 0; at < len(list); {
 		pair, _, _ := strings.Cut(list[at:], ",")
 		name, value, _ := strings.Cut(pair, "=")
-		var err error
+		if name == "" || value == "" || slices.Contains(seen, name) {
+			return "-ERR an empty or doubled name"
+		}
+		seen = append(seen, name)
+		good := true
 		switch name {
 		case "c":
-			l, known := f.lanes[value]
-			if !known || l.pure != query {
-				return "-ERR unknown class"
-			}
-			t.Lane = l.number
+			known, ok := f.lanes[value]
+			l, good = &known, ok && (known.Effect == policy.Pure) == query
 		case "t":
-			n, known := f.plans[value]
-			if !known {
-				return "-ERR unknown plan"
-			}
-			t.Plan = n
+			t.Plan, good = f.plans[value]
 		case "d":
 			var ms float64
-			if ms, err = strconv.ParseFloat(value, 64); err == nil && !(ms > 0 && ms < math.MaxInt32) {
+			ms, good = figure(value)
+			if good && !(ms > 0 && ms < math.MaxInt32) {
 				return late
 			}
 			t.Patience = time.Duration(ms * float64(time.Millisecond))
 			e.Before, e.After = list[:at+len("d=")], list[at+len(pair):]
+		case "k":
+			key = true
 		case "r":
-			t.Repeat = value == "1"
+			t.Repeat, good = value == "1", value == "0" || value == "1"
 		case "units":
-			if t.Units, err = strconv.ParseFloat(value, 64); err == nil && !(t.Units > 0 && t.Units < math.MaxInt32) {
-				return "-ERR units out of range"
-			}
+			t.Units, good = figure(value)
+			good = good && t.Units > 0 && (f.units <= 0 || t.Units <= f.units)
 		case "spread":
-			t.Width, err = strconv.Atoi(value)
+			t.Width, good = within(value, 1, f.gateways)
 		case "first":
-			t.First, err = strconv.Atoi(value)
+			t.First, good = within(value, 0, f.gateways-1)
 		}
-		if err != nil {
-			return "-ERR no number: " + name
+		if !good {
+			return "-ERR unknown, no number or out of range: " + name
 		}
 		at += len(pair) + 1
 	}
-	if t.Lane < 0 || t.Plan < 0 || t.Patience <= 0 {
-		return "-ERR class, plan or deadline is missing"
+	if l == nil || t.Plan < 0 || t.Patience <= 0 || l.Effect == policy.Receipted && !key {
+		return "-ERR class, plan, deadline or key is missing"
 	}
+	t.Lane, t.Patience = l.number, min(t.Patience, l.Patience)
 	return ""
 }
+
+// figure reads a plain decimal number.
+func figure(text string) (float64, bool) {
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil && strings.Trim(text, "0123456789.") == ""
+}
+
+// within reads a whole number in a range.
+func within(text string, least, most int) (int, bool) {
+	v, err := strconv.Atoi(text)
+	return v, err == nil && v >= least && v <= most
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -79,8 +80,9 @@
 
 	errands map[uint32]*Errand // those that the module may still ask something of
 	latest  uint32
-	servers []Server // by the module's number
-	numbers map[string]uint32
+	servers map[uint32]Server // those listed, by the module's number
+	numbers map[string]uint32 // by name
+	named   uint32            // the latest number; none is used twice
 
 	wakes  wakes
 	asked  map[uint64]*wake // the latest by token
@@ -104,7 +106,7 @@
 func New(site policy.Deployment, seed int64, outside Outside, log *zap.Logger) (*Gate, error) {
 	start := time.Now()
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
-		errands: map[uint32]*Errand{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
+		errands: map[uint32]*Errand{}, servers: map[uint32]Server{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
 		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
@@ -170,23 +172,39 @@
 	}
 }
 
-// List takes the servers: all of them, or those that changed.
+// List takes the servers: all of them, or those that changed. One that is gone is forgotten, and so is its number:
+// the same name later is a new server to the module.
 func (g *Gate) List(kind policy.ListKind, servers []Server) {
 	now := g.enter()
 	defer g.leave()
+	left := map[string]uint32{} // names that a whole list leaves out
+	if kind == policy.ListWhole || kind == policy.ListCached {
+		left = maps.Clone(g.numbers)
+	}
 	list := make([]policy.Listed, 0, len(servers))
 	for _, s := range servers {
+		delete(left, s.Name)
 		n, known := g.numbers[s.Name]
+		if !known && s.Listed.Stage == policy.Gone {
+			continue
+		}
 		if !known {
-			n = uint32(len(g.servers))
+			g.named++
+			n = g.named
 			g.numbers[s.Name] = n
-			g.servers = append(g.servers, Server{})
 		}
 		s.Listed.Server = n
 		g.servers[n] = s
 		list = append(list, s.Listed)
+		if s.Listed.Stage == policy.Gone {
+			left[s.Name] = n
+		}
 	}
 	g.module.List(now, kind, list)
+	for name, n := range left {
+		delete(g.numbers, name)
+		delete(g.servers, n)
+	}
 }
 
 // Wanted is told when the list of servers is to be asked for again.
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -179,13 +179,15 @@
 func (c *Conn) Drained() bool { return c.in == nil }
 
 // Part ends the connection after a message that could not be read: closed with that still coming, it would be
-// reset, and the other side might never see the answer. What comes is thrown away, for so long at most.
+// reset, and the other side might never see the answer. What comes is thrown away, for so long at most, and no
+// more than a message: reading on from one who has 60 MB to send would cost more than it is owed.
 func (c *Conn) Part(most time.Duration) {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(most))
 		part := buffers.Get().(*[bufferSize]byte)
-		for {
-			if _, err := c.Read(part[:]); err != nil {
+		for left := messageMost; left > 0; {
+			n, err := c.Read(part[:])
+			if left -= n; err != nil {
 				break
 			}
 		}
