What first tries are given is learned from first tries alone, so that none looks late

A probe (rejections by reason in the log, not kept) found 180 to 830 tasks of 470 to 1,850 in 5 s rejected because their soft limit had passed; another (time left of each task) found first tries with 1.402 s, marked repeats with 1.402 s and a few last tries with all the rest, 2.496 s.

At fault: Gateway.Take raised 'allowed' by repeats as well; after the first such last try every first try of the lane seemed to have stood still for 1.1 s and was rejected at once, for good. A repeat with the usual span of a try was taken to have nothing left of its soft limit.

Now the span is learned from first tries; a repeat is judged by the whole patience only if it has another span. Covers clients that give a try a part of their patience; harm: a repeat after a long first try is pushed though it is late.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,7 +82,7 @@
 // row is a lane as the module reads it.
 type row struct {
 	Lane
-	allowed time.Duration       // the longest that a client gave a try
+	allowed time.Duration       // the longest that a client gave a first try
 	took    last[time.Duration] // answer times
 	sorted  []time.Duration     // the same in order
 }
@@ -174,15 +174,15 @@
 	row := &g.lanes[t.Lane]
 	j := &job{Task: t, soft: min(now+row.SoftLimit, t.Expires), row: row, book: g.desk.open(t)}
 	g.jobs[t.ID] = j
-	// A task given less time than others of its lane has used up some of its soft limit as well: a repeat by
-	// its earlier tries, a first try while this gateway stood still. What is late is rejected.
-	row.allowed = max(row.allowed, t.Expires-now)
-	if t.Expires-now < row.allowed-g.site.AnswerSlack {
-		given := row.allowed
-		if t.Repeat {
-			given = row.Patience
-		}
-		j.soft = t.Expires - given + row.SoftLimit
+	// A task given other time than first tries of its lane has used up some of its soft limit: a repeat has what
+	// its earlier tries left, a first one what our standstill left. What is late is rejected.
+	given := row.Patience
+	if !t.Repeat {
+		row.allowed = max(row.allowed, t.Expires-now)
+		given = row.allowed
+	}
+	if other := t.Expires - now - row.allowed; other.Abs() > g.site.AnswerSlack {
+		j.soft = min(t.Expires-given+row.SoftLimit, t.Expires)
 	}
 	// A little before the client leaves: a tick may be late, and a later answer would be none.
 	g.wake(wakePatience, t.ID, t.Expires-now-2*g.site.Tick)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -745,3 +745,20 @@
 		t.Error("a late answer is no sign of a crowded counter")
 	}
 }
+
+func TestLastTryWithAllTheRestMakesNoFirstTryLate(t *testing.T) {
+	s := begin(t, site(), 2)
+	take := func(id uint32, repeat bool, given time.Duration) {
+		s.g.Take(s.now, Task{ID: id, Width: 2, Units: 1, Expires: s.now + given, Repeat: repeat})
+		s.counter()
+		s.end(id, Answered)
+	}
+	take(1, false, 1100*ms) // a part of the client's patience of two seconds
+	take(2, true, 1980*ms)  // the last one has all that is left of it
+	take(3, false, 1100*ms)
+	take(4, true, 1100*ms) // how long ago its first try was, nothing tells
+	take(5, true, 900*ms)  // the rest of the patience: the soft limit has passed
+	for id, times := range []int{1: 1, 2: 1, 3: 1, 4: 1, 5: 0} {
+		s.wantPushed(uint32(id), times)
+	}
+}
