A silent connection to the counter is given up in the time that one may take to come up; eight of them

At fault: each held a quarter of the names for a second (silentMost in counter.go), and charges on it are held to have been added. Ruled out: a crowded counter (other calls answered in 10 ms).

Now the time that a connection may take to come up, which is handed in, bounds silence too; eight connections share the names. Harm: a counter slower than that to answer loses its connections.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	linesMost  = 4                      // connections: a part of the counter that is slow holds up only some
+	linesMost  = 8                      // connections: one that is slow or silent holds up only some names
 	queueMost  = 256                    // calls that wait for a connection to come up; more are turned away
-	silentMost = time.Second            // a connection with no answer for so long is taken for dead
 	nameLife   = time.Millisecond       // the least life of a name in the protocol
 	writeLimit = 250 * time.Millisecond // a few bytes that take longer to write go nowhere
 )
@@ -86,11 +85,12 @@
 	}
 }
 
-// wait sets until when the oldest answer may come.
-func (k *link) wait() {
+// wait sets until when the oldest answer may come: a connection with none for as long as one may take to come up
+// is taken for dead. Answers come however late, so what was out on it may have been added.
+func (l *line) wait(k *link) {
 	until := time.Time{}
 	if len(k.out) > 0 {
-		until = k.out[0].at.Add(silentMost)
+		until = k.out[0].at.Add(l.within)
 	}
 	_ = k.sock.SetReadDeadline(until)
 }
@@ -124,7 +124,7 @@
 	}
 	c.at = time.Now()
 	if k.out = append(k.out, c); len(k.out) == 1 {
-		k.wait()
+		l.wait(k)
 	}
 	_ = k.sock.SetWriteDeadline(c.at.Add(writeLimit))
 	_, _ = k.conn.W.WriteString(c.text + "\r\n") // an error stays until the flush
@@ -235,7 +235,7 @@
 	}
 	c := k.out[0]
 	k.out = k.out[1:]
-	k.wait()
+	l.wait(k)
 	c.told(total, how)
 	if l.link != k && len(k.out) == 0 {
 		return "the counter has moved"
