How long a connection to a server may rest is learned from the pushes that were lost on rested ones

A probe (rest of each connection beside the end of its push, in the log, not kept): after rests under 100 ms 2 to 5% were lost, after 100 to 600 ms a third, at once; new ones 5%. Ruled out: connections that the server closed in sight (Quiet sees these), the stated limit of 30 s. At fault: take() trusted any rest under half of the stated limit.

Now the ends of the latest pushes are kept by the rest before them, in spans that double; a rest at or beyond one where a fifth were lost, and three at least, gets a new connection. Half is forgotten every 5 s, so that longer rests are tried again. Guards against stale connections of any cause; harm: more handshakes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,10 +34,11 @@
 	connectWithin, idleMost time.Duration
 	reports                 []string // the figures of a load report
 
-	most int
-	mu   sync.Mutex
-	open int              // connections that are up, or coming up
-	kept map[spot][]*kept // idle ones, the latest used last
+	most  int
+	mu    sync.Mutex
+	open  int // connections that are up, or coming up
+	rests rests
+	kept  map[spot][]*kept // idle ones, the latest used last
 }
 
 // spot is where a connection goes: a new server at an old address gets none of the earlier one's.
@@ -48,7 +49,7 @@
 // kept is a connection and when it was last used.
 type kept struct {
 	*resp.Conn
-	used time.Time
+	used time.Time // zero: not yet
 }
 
 // New makes a fleet that holds at most so many connections.
@@ -82,8 +83,14 @@
 		return gate.Result{Outcome: unsent(ctx)}, nil
 	}
 	stop := context.AfterFunc(ctx, c.Abort)
+	rest := time.Since(c.used)
 	reply, how := f.exchange(ctx, c, p.command(until), until)
 	wanted := stop()
+	if !c.used.IsZero() && wanted {
+		f.mu.Lock()
+		f.rests.add(time.Now(), rest, how == ended || how == unwritten)
+		f.mu.Unlock()
+	}
 	if how == answered {
 		out, value, good := f.result(reply)
 		if good && wanted {
@@ -237,14 +244,18 @@
 	told(out)
 }
 
-// take gives an idle connection that stands, or a new one.
+// take gives an idle connection that stands and is not stale, or a new one.
 func (f *Fleet) take(ctx context.Context, to spot, until time.Time) (*kept, error) {
 	for {
 		c := f.idle(to)
 		if c == nil {
 			break
 		}
-		if time.Since(c.used) < f.idleMost && c.Quiet() {
+		f.mu.Lock()
+		rest := time.Since(c.used)
+		stale := rest >= f.idleMost || f.rests.stale(rest)
+		f.mu.Unlock()
+		if !stale && c.Quiet() {
 			return c, nil
 		}
 		f.drop(c)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -213,3 +214,48 @@
 		t.Error("the only one is not used")
 	}
 }
+
+func TestConnectionsThatRestedLongAreNotUsedWhereSuchWereLost(t *testing.T) {
+	var r rests
+	now := time.Now()
+	for range 40 { // two in a hundred are lost after any rest, and most after long ones
+		r.add(now, 20*time.Millisecond, false)
+	}
+	r.add(now, 20*time.Millisecond, true)
+	for range 3 {
+		r.add(now, 150*time.Millisecond, true)
+		r.add(now, 150*time.Millisecond, false)
+	}
+	for rest, stale := range map[time.Duration]bool{0: false, 20 * time.Millisecond: false, 150 * time.Millisecond: true, time.Minute: true} {
+		if r.stale(rest) != stale {
+			t.Errorf("after %v: stale %v", rest, !stale)
+		}
+	}
+	r.add(now.Add(staleHalf), 20*time.Millisecond, false)
+	if r.stale(150 * time.Millisecond) {
+		t.Error("a longer rest is not tried again")
+	}
+}
+
+func TestStaleConnectionsCostAFewPushesAndNoMore(t *testing.T) {
+	s := standin.NewServer(t, func([]string) string { return standin.Value("hello", 1) })
+	f := fleet(10)
+	lost := 0
+	for range 12 { // the server ends each connection that it is asked on a second time
+		for len(f.kept[spot{dial: s.Addr}]) == 0 {
+			push(t, f, s, policy.Answered)
+		}
+		c := f.kept[spot{dial: s.Addr}][0]
+		c.used = time.Now().Add(-200 * time.Millisecond)
+		_ = c.Conn.Conn.(*net.TCPConn).CloseWrite() // its end is seen by the next push alone
+		e := &Parcel{Verb: "SVC.QUERY"}
+		if got, value := f.Push(context.Background(), gate.Server{Dial: s.Addr}, e, time.Now().Add(5*time.Second)); got.Outcome != policy.Answered {
+			lost++
+		} else {
+			value.Free()
+		}
+	}
+	if lost == 0 || lost > staleLeast+1 {
+		t.Errorf("%d of 12 pushes were lost", lost)
+	}
+}
