Clients answered a moment ago keep their places in a flood of silent ones alone

A probe (states of the clients' connections in the log, not kept): 170 of 180 places were held by clients answered within the last two seconds, one to five by such as had just come; hardly a task was out. Ruled out: half commands (none being read), servers (85 connections), restarts (four, each well).

At fault: evict(), as of a commit before, kept who was answered in the last 2 s while anyone had just come, and where clients ask once and stay, someone always has: a place came free every 100 ms at best.

Now that holds only while most places are held by such as have just come and say nothing, which is a flood of them.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -127,8 +127,8 @@
 }
 
 // evict ends one idle connection: one that never asked anything if there is any, else the one that has been idle
-// longest. A client that was answered a moment ago keeps its place while some that have just come say nothing
-// yet: a flood of them takes no place from clients.
+// longest. Only while most places are held by those that have just come and say nothing yet, which is a flood, a
+// client that was answered a moment ago keeps its own: they are idle like others in no time.
 func (f *Front) evict() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -138,10 +138,12 @@
 		mum   bool
 	}
 	var all []idler
-	young := false
+	young := 0
 	for c := range f.clients {
 		since, mum, idle := c.idle()
-		young = young || mum && !idle
+		if mum && !idle {
+			young++
+		}
 		if idle {
 			all = append(all, idler{c, since, mum})
 		}
@@ -153,7 +155,7 @@
 		return a.since.Compare(b.since)
 	})
 	for _, c := range all {
-		if young && !c.mum && time.Since(c.since) < keepLeast {
+		if young > cap(f.places)/2 && !c.mum && time.Since(c.since) < keepLeast {
 			return
 		}
 		if c.leave() {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,10 +1,61 @@
 package front
 
 import (
+	"net"
 	"testing"
 	"time"
+
+	"harrierhoist/internal/resp"
+	"harrierhoist/internal/standin"
 )
 
+// full is a front of eight places: so many clients have just come and say nothing, the others were answered.
+func full(t *testing.T, young int) *Front {
+	t.Helper()
+	f := &Front{places: make(chan struct{}, 8), clients: map[*client]struct{}{}}
+	l := standin.Listen(t)
+	for i := range cap(f.places) {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		near, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _, _ = far.Close(), near.Close() })
+		c := &client{conn: resp.NewConn(near), used: time.Now(), fresh: i < young}
+		if c.fresh {
+			c.used = c.used.Add(time.Hour) // young throughout
+		}
+		f.clients[c] = struct{}{}
+	}
+	return f
+}
+
+func (f *Front) left() (n int) {
+	for c := range f.clients {
+		if c.over {
+			n++
+		}
+	}
+	return n
+}
+
+func TestClientsThatAskOnceAndStayMakeRoomAtOnce(t *testing.T) {
+	f := full(t, 2)
+	if f.evict(); f.left() != 1 {
+		t.Errorf("%d of those answered a moment ago made room", f.left())
+	}
+}
+
+func TestFloodOfThoseWhoSayNothingTakesNoAnsweredClientsPlace(t *testing.T) {
+	f := full(t, 7)
+	if f.evict(); f.left() != 0 {
+		t.Error("a client lost its place to a flood")
+	}
+}
+
 func TestWhoHasJustConnectedIsNotIdle(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
