Idle clients make room before those who come are held up by their own bound

At fault: Serve ended idle connections only once all places were taken, half of the sockets; clients hold a third at most, so those that ask once and stay filled it, and others were not let out by their own side. Ruled out: the quota desk, servers, the accept loop (no place was waited for).

Now an idle connection goes with each that comes once six tenths of the places are taken, under that third; the rest is for floods. Harm: a client idle for a second or so makes a new connection.

--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -416,6 +416,19 @@
 	idle[0].closed() // it stood idle longest
 }
 
+func TestClientsThatAskOnceAndStayMakeRoomBeforeAllPlacesAreTaken(t *testing.T) {
+	w := begin(t, 40, hello) // eight places, and clients hold no more than they may
+	var stay []*client
+	for range 6 {
+		c := w.dial()
+		c.send(look("c=look,t=wide,d=4800"))
+		c.want("hello")
+		stay = append(stay, c)
+	}
+	_ = stay[0].SetDeadline(time.Now().Add(5 * time.Second)) // as idle as that, it would be closed later still
+	stay[0].closed()
+}
+
 func TestThoseWhoSayNothingOrHalfShutNobodyOut(t *testing.T) {
 	w := begin(t, 40, hello) // eight places
 	for i := range 9 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 	wordsMost  = 4                      // of a command, besides a value
 	talkMost   = 3 * time.Second        // the longest deadline counted: who takes longer over an answer has gone
 	wordsTime  = time.Second            // who takes longer over a command is no client; with mumMost under 3 s
+	easyPart   = 0.6                    // of the places: more are for floods. Clients keep to a third of the sockets
 	mumMost    = 1500 * time.Millisecond
 	keepLeast  = 2 * time.Second        // clients ask again within this, if they do
 	idleMost   = 10 * time.Second       // a client that asks no more has gone, or opens another connection
@@ -98,6 +99,9 @@
 			continue
 		}
 		f.place()
+		if len(f.places) > int(easyPart*float64(cap(f.places))) {
+			f.evict()
+		}
 		c := &client{front: f, conn: resp.NewConn(conn), turns: make(chan struct{}, atOnceMost),
 			out: map[*gate.Errand]struct{}{}, used: time.Now(), fresh: true}
 		f.mu.Lock()
