--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -99,8 +99,8 @@
 			continue
 		}
 		f.place()
-		if len(f.places) > int(easyPart*float64(cap(f.places))) {
-			f.evict()
+		if easy := int(easyPart * float64(cap(f.places))); len(f.places) > easy {
+			f.evict(easy)
 		}
 		c := &client{front: f, conn: resp.NewConn(conn), turns: make(chan struct{}, atOnceMost),
 			out: map[*gate.Errand]struct{}{}, used: time.Now(), fresh: true}
@@ -121,7 +121,7 @@
 	default:
 	}
 	for {
-		f.evict()
+		f.evict(0)
 		select {
 		case f.places <- struct{}{}:
 			return
@@ -130,10 +130,11 @@
 	}
 }
 
-// evict ends one idle connection: one that never asked anything if there is any, else the one that has been idle
-// longest. Only while most places are held by those that have just come and say nothing yet, which is a flood, a
-// client that was answered a moment ago keeps its own: they are idle like others in no time.
-func (f *Front) evict() {
+// evict ends one idle connection, if there are more than so many besides those that have just come: one that never
+// asked anything if there is any, else the one that has been idle longest. Only while most places are held by those
+// that have just come and say nothing yet, which is a flood, a client that was answered a moment ago keeps its own:
+// they are idle like others in no time.
+func (f *Front) evict(easy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	type idler struct {
@@ -152,6 +153,9 @@
 			all = append(all, idler{c, since, mum})
 		}
 	}
+	if len(f.clients)-young <= easy {
+		return
+	}
 	slices.SortFunc(all, func(a, b idler) int {
 		if a.mum != b.mum {
 			return map[bool]int{true: -1, false: 1}[a.mum]
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -44,14 +44,14 @@
 
 func TestClientsThatAskOnceAndStayMakeRoomAtOnce(t *testing.T) {
 	f := full(t, 2)
-	if f.evict(); f.left() != 1 {
+	if f.evict(0); f.left() != 1 {
 		t.Errorf("%d of those answered a moment ago made room", f.left())
 	}
 }
 
 func TestFloodOfThoseWhoSayNothingTakesNoAnsweredClientsPlace(t *testing.T) {
 	f := full(t, 7)
-	if f.evict(); f.left() != 0 {
+	if f.evict(0); f.left() != 0 {
 		t.Error("a client lost its place to a flood")
 	}
 }
