Wide sets are asked for by the plain chance of a call

So the power was at fault: a wide set's customer is hardly known at one gateway, and asking by what its store is believed to hold is asking at random.

Now the power is 1 for sets of 16 gateways and more, and falls with the width to the least of an empty store.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	callPart    = 0.25                   // part of the soft limit that a check may take
 	heedLess    = 0.6                    // a failed call makes the next this much less likely
 	heedMore    = 1.25                   // a quick answer makes it more likely: a dozen of them end a pause
-	needLeast   = 0.25                   // the power of that chance at an empty store; at a full one it is 1
+	needWidth   = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
 	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
 	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
 	rampTimes   = 4.0                    // so many answer times' units, a thin customer's last, go by lot
@@ -429,7 +429,7 @@
 	case b.plan.Rate > 0 && b.left+b.assumed < j.Units && len(b.pending) == 0:
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
 	case d.site.HasCounter && b.plan.Rate > 0 && !spare &&
-		d.chance.Float64() < math.Pow(d.heed, max(b.left/b.plan.Burst, needLeast)):
+		d.chance.Float64() < math.Pow(d.heed, max(b.left/b.plan.Burst, min(b.width/needWidth, 1))):
 		j.asked = true
 		d.charge(b, j, 1)
 		d.wake(wakeCheck, j.ID, time.Duration(callPart*float64(j.row.SoftLimit)))
