--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -13,17 +12,8 @@
 func full(t *testing.T, young int) *Front {
 	t.Helper()
 	f := &Front{places: make(chan struct{}, 8), clients: map[*client]struct{}{}}
-	l := standin.Listen(t)
 	for i := range cap(f.places) {
-		far, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		near, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _, _ = far.Close(), near.Close() })
+		near, _ := standin.Pair(t)
 		c := &client{conn: resp.NewConn(near), used: time.Now(), fresh: i < young}
 		if c.fresh {
 			c.used = c.used.Add(time.Hour) // young throughout
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -15,16 +15,7 @@
 // pair is a connection, and the other end of it.
 func pair(t *testing.T) (*Conn, net.Conn) {
 	t.Helper()
-	l := standin.Listen(t)
-	far, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	near, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _, _ = far.Close(), near.Close() })
+	near, far := standin.Pair(t)
 	return NewConn(near), far
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -26,6 +26,21 @@
 	return l
 }
 
+// Pair is a connection and the other end of it.
+func Pair(t testing.TB) (near, far net.Conn) {
+	t.Helper()
+	l := Listen(t)
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if near, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = far.Close(), near.Close() })
+	return near, far
+}
+
 // accept hands each connection to a goroutine, until the listener is closed; then it closes them all.
 func accept(t testing.TB, l net.Listener, serve func(net.Conn)) {
 	var mu sync.Mutex
