--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .PHONY: build test race lint run clean
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	sh -c "$$(sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)"
 
 test:
 	go test -count=1 ./...
