A gateway keeps to the part of the servers that its pushes can keep open

Change: internal/pool, free of I/O, picks the part by arcs of equal steps on an order of the servers that all gateways share, as long as the gateway's rate can keep open. The gate hands the module that part and tells it how many gateways share each server (Shared).

--- a/cmd/harrierhoist/main.go
+++ b/cmd/harrierhoist/main.go
@@ -55,7 +55,7 @@
 	each := max((told.Sockets-socketsApart)/2, 1) // half for clients, half for servers
 	site := &told.Deployment
 	servers := fleet.New(told.ConnectWithin, told.IdleLimit, site.Reports, each)
-	outside := gate.Outside{Probe: func(s gate.Server, heard func(gate.Result)) { go servers.Probe(s, heard) }}
+	outside := gate.Outside{Kept: servers.Kept(), Probe: func(s gate.Server, heard func(gate.Result)) { go servers.Probe(s, heard) }}
 	var count *counter.Counter
 	if site.HasCounter {
 		count = counter.New(told.Counter, told.ConnectWithin, log)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,9 @@
 		kept: map[spot][]*kept{}}
 }
 
+// Kept is how long a connection that nobody uses is kept.
+func (f *Fleet) Kept() time.Duration { return f.idleMost }
+
 // Parcel is what a push carries: the command as the client worded it, but for the time that we will wait.
 type Parcel struct {
 	Verb, Customer, ID string
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,11 +8,14 @@
 	"container/heap"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"harrierhoist/internal/pool"
 	"harrierhoist/policy"
 )
 
@@ -23,6 +26,9 @@
 	Count func(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome))
 	// Probe asks a server for its load.
 	Probe func(s Server, told func(Result))
+	// Kept is how long a connection to a server is kept after its latest push: the module is handed those servers
+	// that our pushes can keep open. At 0 it is handed all.
+	Kept time.Duration
 }
 
 // Server is a server as discovery names it.
@@ -81,6 +87,7 @@
 	errands map[uint32]*Errand // those that the module may still ask something of
 	latest  uint32
 	servers map[uint32]Server // those listed, by the module's number
+	pool    *pool.Pool        // which of them the module is handed
 	numbers map[string]uint32 // by name
 	named   uint32            // the latest number; none is used twice
 
@@ -107,6 +114,7 @@
 	start := time.Now()
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
 		errands: map[uint32]*Errand{}, servers: map[uint32]Server{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
+		pool:  pool.New(site.Me, site.Gateways, outside.Kept),
 		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
@@ -177,17 +185,23 @@
 func (g *Gate) List(kind policy.ListKind, servers []Server) {
 	now := g.enter()
 	defer g.leave()
+	if kind == policy.ListFailed {
+		g.module.List(now, kind, nil)
+		return
+	}
 	left := map[string]uint32{} // names that a whole list leaves out
-	if kind == policy.ListWhole || kind == policy.ListCached {
+	if kind != policy.ListChanges {
 		left = maps.Clone(g.numbers)
 	}
-	list := make([]policy.Listed, 0, len(servers))
 	for _, s := range servers {
-		delete(left, s.Name)
 		n, known := g.numbers[s.Name]
-		if !known && s.Listed.Stage == policy.Gone {
+		if s.Listed.Stage == policy.Gone {
+			if known {
+				left[s.Name] = n
+			}
 			continue
 		}
+		delete(left, s.Name)
 		if !known {
 			g.named++
 			n = g.named
@@ -195,16 +209,34 @@
 		}
 		s.Listed.Server = n
 		g.servers[n] = s
-		list = append(list, s.Listed)
-		if s.Listed.Stage == policy.Gone {
-			left[s.Name] = n
-		}
 	}
-	g.module.List(now, kind, list)
 	for name, n := range left {
 		delete(g.numbers, name)
 		delete(g.servers, n)
 	}
+	g.hand(now, kind)
+}
+
+// hand gives the module the servers of our part that are ready, in the order in which they were first named. To
+// it the others are gone: it pushes to ready ones alone, and what is out elsewhere goes on.
+func (g *Gate) hand(now time.Duration, kind policy.ListKind) {
+	numbers := slices.Sorted(maps.Keys(g.servers))
+	all := make([]pool.Server, 0, len(numbers))
+	for _, n := range numbers {
+		s := g.servers[n]
+		all = append(all, pool.Server{Mark: xxhash.Sum64String(s.Name), Hall: s.Listed.Hall, Cell: s.Listed.Cell,
+			Ready: s.Listed.Stage == policy.Ready})
+	}
+	part, sharers := g.pool.Part(now, all)
+	list := make([]policy.Listed, 0, len(part))
+	for _, at := range part {
+		list = append(list, g.servers[numbers[at]].Listed)
+	}
+	if kind == policy.ListChanges {
+		kind = policy.ListWhole
+	}
+	g.module.Shared(sharers)
+	g.module.List(now, kind, list)
 }
 
 // Wanted is told when the list of servers is to be asked for again.
@@ -226,6 +258,9 @@
 func (g *Gate) Admit(t Task) *Errand {
 	now := g.enter()
 	defer g.leave()
+	if g.pool.Due(now) {
+		g.hand(now, policy.ListWhole)
+	}
 	g.latest++
 	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
 	g.errands[e.id] = e
@@ -285,6 +320,7 @@
 	e := g.errands[task]
 	e.pushes++
 	e.server, e.at = server, g.now()
+	g.pool.Pushed(e.at)
 	c := Choice{Verdict: Push, Server: g.servers[server], Until: g.start.Add(until - g.origin)}
 	c.Wanted, e.giveUp = context.WithCancel(context.Background())
 	e.choices <- c
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,7 +115,7 @@
 		g.lanes = append(g.lanes, row{Lane: l})
 	}
 	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1}
-	g.fleet = fleet{Gateway: g, places: map[uint32]*server{}, kinds: map[int]last[time.Duration]{}}
+	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{}, kinds: map[int]last[time.Duration]{}}
 	g.course = course{Gateway: g}
 	return g, nil
 }
@@ -168,6 +168,9 @@
 	g.tell(now, &g.fleet.part, note{what: g.fleet.listed, kind: kind, list: list})
 }
 
+// Shared tells how many gateways push to each server that the list names, where each has but a part of them all.
+func (g *Gateway) Shared(by float64) { g.fleet.sharers = max(by, 1) }
+
 // Take takes a task; from here on it is owed one final answer.
 func (g *Gateway) Take(now time.Duration, t Task) {
 	g.now = now
@@ -611,6 +614,7 @@
 type fleet struct {
 	*Gateway
 	part
+	sharers float64 // gateways that push to each server listed
 	places  map[uint32]*server
 	servers []*server // the same; the gone are forgotten once nothing is out there
 	up      []*server // ready, in the order in which they were first named
@@ -712,7 +716,7 @@
 func (f *fleet) apart() time.Duration {
 	n := len(f.load.items)
 	if n < boundLeast {
-		return f.site.TipAfter * time.Duration(f.site.Gateways)
+		return time.Duration(float64(f.site.TipAfter) * f.sharers)
 	}
 	newest, oldest := f.load.latest(0), f.load.latest(n-1)
 	each := float64(max(newest.at-oldest.at, f.site.Tick)) / float64(n-1)
@@ -735,12 +739,12 @@
 func (s *server) filled(strange int) bool {
 	n := len(s.answers.items)
 	if n < boundLeast {
-		first := 2 * boundFree / float64(s.site.Gateways)
+		first := 2 * boundFree / s.fleet.sharers
 		all := first * float64(len(s.fleet.up))
 		return float64(len(s.out)) >= max(1, first) || float64(strange) >= all+2*math.Sqrt(all)
 	}
 	span := max(s.now-s.answers.latest(n-1), s.site.Tick)
-	bound := boundFree/float64(s.site.Gateways) + boundPart*float64(s.tightest)*float64(n)/float64(span)
+	bound := boundFree/s.fleet.sharers + boundPart*float64(s.tightest)*float64(n)/float64(span)
 	return float64(len(s.out)+1) > max(bound, 1)
 }
 
@@ -765,7 +769,7 @@
 		return 1
 	}
 	slices.Sort(parts)
-	free := boundFree / float64(f.site.Gateways) * float64(f.apart())
+	free := boundFree / f.sharers * float64(f.apart())
 	easy := (boundPart + free/float64(f.tightest)) / 2 / max(parts[len(parts)*6/10], boundPart/samplesMany)
 	return max(easy*easy, calmLeast)
 }
