--- /dev/null
+++ b/cmd/hoistlab/demo.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"harrierhoist/internal/lab/ledger"
+	"harrierhoist/internal/lab/live"
+	"harrierhoist/internal/lab/load"
+	"harrierhoist/internal/lab/world"
+	"harrierhoist/internal/resp"
+)
+
+// sockets handed to each gateway of the laboratory.
+const sockets = 512
+
+// fleet is a world that runs, and gateways before it, each a process of this program.
+type fleet struct {
+	*live.World
+	addrs []string
+	procs []*exec.Cmd
+	dir   string
+}
+
+// startFleet starts emulated servers, counter and discovery, and gateways on free ports; it waits until they are ready.
+func startFleet(ctx context.Context, w *world.World, log io.Writer) (*fleet, error) {
+	l, err := live.Start(w, w.Seed)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{World: l}
+	if f.dir, err = os.MkdirTemp("", "hoistlab-"); err != nil {
+		return nil, err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	for n := range w.Gateways.Count {
+		probe, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		addr := probe.Addr().String()
+		_ = probe.Close()
+		told, err := l.Told(n, addr, sockets)
+		if err != nil {
+			return nil, err
+		}
+		file := filepath.Join(f.dir, fmt.Sprintf("n%d.json", n))
+		if err := os.WriteFile(file, told, 0o600); err != nil {
+			return nil, err
+		}
+		p := exec.CommandContext(ctx, program, "gateway", file)
+		p.Cancel = func() error { return p.Process.Signal(syscall.SIGTERM) }
+		p.WaitDelay = 5 * time.Second
+		p.Stderr = log
+		if err := p.Start(); err != nil {
+			f.stop()
+			return nil, err
+		}
+		f.procs = append(f.procs, p)
+		f.addrs = append(f.addrs, addr)
+	}
+	for _, addr := range f.addrs {
+		if err := ready(ctx, addr, 10*time.Second); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// ready waits until a gateway answers PING with PONG.
+func ready(ctx context.Context, addr string, within time.Duration) error {
+	for end := time.Now().Add(within); ctx.Err() == nil && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		conn, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			continue
+		}
+		c := resp.NewConn(conn)
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		if c.WriteCommand(&resp.Command{Words: []string{"PING"}}) == nil && c.Await() == nil {
+			if r, err := c.ReadReply(); err == nil && r.Line == "PONG" {
+				_ = c.Close()
+				return nil
+			}
+		}
+		_ = c.Close()
+	}
+	return fmt.Errorf("the gateway at %s is not ready after %v", addr, within)
+}
+
+func (f *fleet) stop() {
+	for _, p := range f.procs {
+		_ = p.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range f.procs {
+		_ = p.Wait()
+	}
+	f.Close()
+	_ = os.RemoveAll(f.dir)
+}
+
+func emulateCommand() *cobra.Command {
+	return &cobra.Command{Use: "emulate WORLD.toml", Short: "start a world's servers, counter, discovery and real gateways on loopback until Ctrl-C",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			w, err := world.Read(args[0])
+			if err != nil {
+				return err
+			}
+			f, err := startFleet(cmd.Context(), w, cmd.ErrOrStderr())
+			if err != nil {
+				return err
+			}
+			defer f.stop()
+			out := json.NewEncoder(cmd.OutOrStdout())
+			counter := ""
+			if f.Counter != nil {
+				counter = f.Counter.Addr
+			}
+			if err := out.Encode(map[string]any{"gateways": f.addrs, "discovery": f.Discovery.Addr, "counter": counter}); err != nil {
+				return err
+			}
+			<-cmd.Context().Done()
+			return nil
+		}}
+}
+
+func demoCommand() *cobra.Command {
+	length, dir := 12*time.Second, ""
+	c := &cobra.Command{Use: "demo", Short: "two real gateways before emulated servers, one of which is lost on the way", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return demo(cmd, length, dir) }}
+	c.Flags().DurationVar(&length, "for", length, "how long load is sent")
+	c.Flags().StringVar(&dir, "charts", os.TempDir(), "folder for the chart")
+	return c
+}
+
+// demoWorld is sound, small and half loaded.
+func demoWorld() (*world.World, error) {
+	w, err := world.Parse("demo", nil)
+	if err != nil {
+		return nil, err
+	}
+	w.Name = "demo"
+	w.Gateways.Count, w.Gateways.Halls = 2, 1
+	w.Servers.Count, w.Servers.Cell = 8, 4
+	w.Load.Rate = 120
+	return w, nil
+}
+
+func demo(cmd *cobra.Command, length time.Duration, dir string) error {
+	w, err := demoWorld()
+	if err != nil {
+		return err
+	}
+	out := cmd.OutOrStdout()
+	f, err := startFleet(cmd.Context(), w, io.Discard)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	fmt.Fprintf(out, "%d emulated servers, a counter, discovery; gateways at %v\n", len(f.Servers), f.addrs)
+	fmt.Fprintf(out, "%g tasks a second for %v; the first server falls silent for the middle third\n", w.Load.Rate, length)
+	time.AfterFunc(length/3, func() { f.Servers[0].Silence(true) })
+	time.AfterFunc(2*length/3, func() { f.Servers[0].Silence(false) })
+	d := &load.Driver{World: w, Gateways: f.addrs, Rate: w.Load.Rate, Length: length, Seed: 1, Book: f.Book, Progress: cmd.ErrOrStderr()}
+	r, err := d.Run(cmd.Context())
+	if err != nil {
+		return err
+	}
+	r.Write(out, w.Lanes)
+	fmt.Fprintf(out, "\n%-8s %8s\n", "server", "tasks")
+	for _, s := range f.Servers {
+		fmt.Fprintf(out, "%-8s %8d\n", s.Name, s.Tasks.Load())
+	}
+	f.Book.Note(func(l *ledger.Ledger, at time.Duration) {
+		l.Finish(at)
+		fmt.Fprintf(out, "\nunits sent on %.0f, beyond quotas %.0f; calls to the counter %d\n", l.Sent, l.Beyond, f.Counter.Calls.Load())
+		fmt.Fprintf(out, "rules broken, by the servers' and clients' record: %v\n", l.Counts)
+		for _, b := range l.Breaches {
+			fmt.Fprintln(out, " ", b)
+		}
+	})
+	file, err := chart(dir, r, length)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "chart: %s\n", file)
+	return nil
+}
+
+// chart draws what came of each second.
+func chart(dir string, r *load.Report, length time.Duration) (string, error) {
+	p := plot.New()
+	p.Title.Text = "tasks by the second in which they were due"
+	p.X.Label.Text, p.Y.Label.Text = "second", "tasks"
+	p.Y.Min = 0
+	series := []struct {
+		name string
+		of   func(load.Second) int
+	}{{"offered", func(s load.Second) int { return s.Offered }}, {"in time", func(s load.Second) int { return s.InTime }},
+		{"rejected", func(s load.Second) int { return s.Rejected }}, {"failed", func(s load.Second) int { return s.Failed }}}
+	for i, s := range series {
+		points := plotter.XYs{}
+		for n, sec := range r.Seconds {
+			points = append(points, plotter.XY{X: float64(n), Y: float64(s.of(sec))})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(s.name, line)
+	}
+	file := filepath.Join(dir, "hoistlab-demo.svg")
+	return file, p.Save(7*vg.Inch, 3.5*vg.Inch, file)
+}
--- /dev/null
+++ b/cmd/hoistlab/main.go
@@ -0,0 +1,289 @@
+// Command hoistlab is the laboratory: it plays worlds with emulated servers, counter, discovery and customers, in
+// virtual time or before real gateways, and says what a change does. docs/lab.md is its manual.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"harrierhoist/internal/daemon"
+	"harrierhoist/internal/lab/baseline"
+	"harrierhoist/internal/lab/experiment"
+	"harrierhoist/internal/lab/load"
+	"harrierhoist/internal/lab/report"
+	"harrierhoist/internal/lab/search"
+	"harrierhoist/internal/lab/world"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "hoistlab:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{Use: "hoistlab", Short: "the laboratory of harrierhoist: emulated servers, load, experiments, reports",
+		SilenceUsage: true, SilenceErrors: true}
+	c.AddCommand(checkCommand(), runCommand(), compareCommand(), reportCommand(), searchCommand(), sizeCommand(), loadCommand(),
+		emulateCommand(), demoCommand(), troublesCommand(), gatewayCommand())
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check WORLD.toml...", Short: "check world files: every error, with its line and column", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			var all []error
+			for _, f := range files {
+				w, err := world.Read(f)
+				if err != nil {
+					all = append(all, err)
+					continue
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %s: %d gateways, %d servers, %g tasks a second for %v, %d troubles\n", f, w.Name, w.Gateways.Count,
+					w.Servers.Count, w.Load.Rate, w.Length.D(), len(w.Troubles))
+			}
+			return errors.Join(all...)
+		}}
+}
+
+func runCommand() *cobra.Command {
+	out, workers := "", 0
+	c := &cobra.Command{Use: "run PLAN.toml", Short: "play a plan in virtual time: worlds x sizes x variants x seeds", Args: cobra.ExactArgs(1),
+		Example: "  hoistlab run lab/plans/baselines.toml --out results.jsonl",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := experiment.ReadPlan(args[0])
+			if err != nil {
+				return err
+			}
+			file, err := os.CreateTemp(filepath.Dir(out), ".results-*")
+			if err != nil {
+				return err
+			}
+			defer os.Remove(file.Name())
+			err = p.Run(workers, file, func(n, of int, l *experiment.Line) {
+				fmt.Fprintf(cmd.ErrOrStderr(), "%d of %d: %s, %d gateways, %s, seed %d: service %.3f, net %.3f, %.1fs\n", n, of, l.World, l.Gateways,
+					l.Variant, l.Seed, l.Service, l.Net, l.Wall)
+			})
+			if err := errors.Join(err, file.Close()); err != nil {
+				return err
+			}
+			if err := os.Rename(file.Name(), out); err != nil {
+				return err
+			}
+			lines, err := experiment.ReadLines(out)
+			if err != nil {
+				return err
+			}
+			report.Table(cmd.OutOrStdout(), lines)
+			return nil
+		}}
+	c.Flags().StringVarP(&out, "out", "o", "results.jsonl", "file for the results, a line of JSON each")
+	c.Flags().IntVarP(&workers, "workers", "w", runtime.NumCPU(), "plays at once; the results are the same whatever it is")
+	return c
+}
+
+func compareCommand() *cobra.Command {
+	var variants []string
+	c := &cobra.Command{Use: "compare A.jsonl [B.jsonl]", Short: "pair two sets of results by world, size and seed: means, 95% intervals, what is noise",
+		Args: cobra.RangeArgs(1, 2), Example: "  hoistlab compare before.jsonl after.jsonl\n  hoistlab compare results.jsonl --variants even,module",
+		RunE: func(cmd *cobra.Command, files []string) error {
+			a, err := experiment.ReadLines(files[0])
+			if err != nil {
+				return err
+			}
+			b := a
+			if len(files) == 2 {
+				if b, err = experiment.ReadLines(files[1]); err != nil {
+					return err
+				}
+			} else if len(variants) != 2 {
+				return errors.New("one file alone needs --variants A,B")
+			}
+			if len(variants) == 2 {
+				a, b = only(a, variants[0]), only(b, variants[1])
+			}
+			pairs := experiment.Compare(a, b)
+			if len(pairs) == 0 {
+				return errors.New("nothing pairs: no play of the same world, size and seed in both")
+			}
+			report.Compared(cmd.OutOrStdout(), pairs)
+			return nil
+		}}
+	c.Flags().StringSliceVar(&variants, "variants", nil, "two variants, A and B")
+	return c
+}
+
+func only(lines []*experiment.Line, variant string) (some []*experiment.Line) {
+	for _, l := range lines {
+		if l.Variant == variant {
+			some = append(some, l)
+		}
+	}
+	return some
+}
+
+func reportCommand() *cobra.Command {
+	dir := ""
+	c := &cobra.Command{Use: "report RESULTS.jsonl...", Short: "write tables (Markdown) and charts (SVG) of results", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			var all []*experiment.Line
+			for _, f := range files {
+				lines, err := experiment.ReadLines(f)
+				if err != nil {
+					return err
+				}
+				all = append(all, lines...)
+			}
+			names, err := report.Charts(dir, all)
+			if err != nil {
+				return err
+			}
+			report.Table(cmd.OutOrStdout(), all)
+			for _, n := range names {
+				fmt.Fprintf(cmd.OutOrStdout(), "\n![%s](%s)\n", strings.TrimSuffix(filepath.Base(n), ".svg"), n)
+			}
+			return nil
+		}}
+	c.Flags().StringVarP(&dir, "charts", "c", "charts", "folder for the charts")
+	return c
+}
+
+func searchCommand() *cobra.Command {
+	tries, most, seed, out, policy := 0, 0, uint64(0), "", ""
+	c := &cobra.Command{Use: "search WORLD.toml", Short: "look for the schedule of troubles that breaks a rule or loses most, and shrink it",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			w, err := world.Read(args[0])
+			if err != nil {
+				return err
+			}
+			if baseline.All[policy] == nil {
+				return fmt.Errorf("--policy is %q; one of %s is allowed", policy, strings.Join(baseline.Names, ", "))
+			}
+			f, err := search.Search(w, seed, tries, most, policy, func(f *search.Found) {
+				fmt.Fprintf(cmd.ErrOrStderr(), "play %d: loses %.3f, rules broken %d\n", f.Plays, f.Loss, f.Line.Broken)
+			})
+			if err != nil || f == nil {
+				return err
+			}
+			f.World.Name += "-found"
+			f.World.Seed = seed
+			text, err := toml.Marshal(f.World)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "worst of %d plays: loses %.3f, rules broken %d, %d troubles left, %d taken out\n", f.Plays, f.Loss, f.Line.Broken,
+				len(f.World.Troubles), f.Shrunk)
+			for _, t := range f.World.Troubles {
+				fmt.Fprintf(cmd.OutOrStdout(), "  %s at %v for %v, part %g, size %g\n", t.Kind, t.At.D(), t.For.D(), t.Part, t.Size)
+			}
+			if f.Line.First != "" {
+				fmt.Fprintln(cmd.OutOrStdout(), " ", f.Line.First)
+			}
+			if out == "" {
+				return nil
+			}
+			return os.WriteFile(out, text, 0o644)
+		}}
+	c.Flags().IntVarP(&tries, "tries", "n", 40, "schedules to draw")
+	c.Flags().IntVar(&most, "troubles", 4, "the most troubles in one")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the search and of the plays")
+	c.Flags().StringVarP(&out, "out", "o", "", "file for the world that was found")
+	c.Flags().StringVar(&policy, "policy", "module", "whose losses are looked for")
+	return c
+}
+
+func sizeCommand() *cobra.Command {
+	var sizes []int
+	seconds := 10
+	c := &cobra.Command{Use: "size WORLD.toml", Short: "how fast plays go, and what they cost, from few gateways to thousands", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			w, err := world.Read(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "| gateways | servers | tasks a second offered | policy | tries | wall s | tries a wall second | memory MB |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
+			for _, n := range sizes {
+				for _, policy := range []string{"module", "random"} {
+					s := experiment.Sized(w, n)
+					s.Length = min(s.Length, world.Span(time.Duration(seconds)*time.Second))
+					runtime.GC()
+					began := time.Now()
+					l, err := experiment.Play(s, policy, 1)
+					if err != nil {
+						return err
+					}
+					wall := time.Since(began).Seconds()
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					tries := l.Tries * s.Load.Rate * s.Length.D().Seconds()
+					fmt.Fprintf(cmd.OutOrStdout(), "| %d | %d | %.0f | %s | %.0f | %.2f | %.0f | %.0f |\n", n, s.Servers.Count, s.Load.Rate, policy, tries, wall,
+						tries/wall, float64(m.HeapSys)/1e6)
+				}
+			}
+			return nil
+		}}
+	c.Flags().IntSliceVar(&sizes, "gateways", []int{10, 100, 1000}, "sizes")
+	c.Flags().IntVar(&seconds, "seconds", 10, "of virtual time, at most")
+	return c
+}
+
+func loadCommand() *cobra.Command {
+	var gateways []string
+	rate, length, file, seed := 0.0, 10*time.Second, "", uint64(1)
+	c := &cobra.Command{Use: "load", Short: "drive running gateways at a given rate, open loop; Ctrl-C ends it with its report", Args: cobra.NoArgs,
+		Example: "  hoistlab load --gateway 127.0.0.1:6379 --rate 200 --for 30s",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			w, err := world.Parse("the default world", nil)
+			if file != "" {
+				w, err = world.Read(file)
+			}
+			if err != nil {
+				return err
+			}
+			if rate <= 0 {
+				rate = w.Load.Rate
+			}
+			d := &load.Driver{World: w, Gateways: gateways, Rate: rate, Length: length, Seed: seed, Progress: cmd.ErrOrStderr()}
+			r, err := d.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			r.Write(cmd.OutOrStdout(), w.Lanes)
+			return nil
+		}}
+	c.Flags().StringSliceVarP(&gateways, "gateway", "g", nil, "address of a gateway; may be given often")
+	c.Flags().Float64VarP(&rate, "rate", "r", 0, "tasks a second; the world's where it is 0")
+	c.Flags().DurationVar(&length, "for", length, "how long")
+	c.Flags().StringVarP(&file, "world", "w", "", "world file with the lanes and plans; the default's where there is none")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of what is asked, and of the tasks' ids")
+	_ = c.MarkFlagRequired("gateway")
+	return c
+}
+
+func troublesCommand() *cobra.Command {
+	return &cobra.Command{Use: "troubles", Short: "the troubles by name", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
+		for _, name := range world.KindNames() {
+			fmt.Fprintf(cmd.OutOrStdout(), "%-18s %s\n", name, world.Kinds[name].What)
+		}
+	}}
+}
+
+// gatewayCommand is a gateway of the laboratory's own, as a process: the demo starts some.
+func gatewayCommand() *cobra.Command {
+	return &cobra.Command{Use: "gateway CONFIG.json", Short: "run one gateway, as harrierhoist does", Args: cobra.ExactArgs(1), Hidden: true,
+		RunE: func(_ *cobra.Command, args []string) error { return daemon.Run(args[0]) }}
+}
--- /dev/null
+++ b/internal/lab/virtual/result.go
@@ -0,0 +1,74 @@
+package virtual
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"harrierhoist/internal/lab/ledger"
+	"harrierhoist/internal/lab/world"
+)
+
+// Result is the record of a play.
+type Result struct {
+	World string `json:"world"`
+	Seed  uint64 `json:"seed"`
+
+	// Requests, however many tries each took. Due are those that a perfect count would let in.
+	Offered, Due, InTime, Late, Refused, Failed int
+	// Gain that was due, and gain that was served in time inside quotas.
+	GainDue, GainServed float64
+
+	Tries, Rejected, Terminated int
+	Broken0                     int `json:"BrokenConnections"` // tries whose gateway was dead or died
+	Pushes, Handshakes          int
+	Calls, CallsRefused         int
+	Units, Beyond, BeyondGain   float64
+	Uneven                      float64 // load of servers that stood all day: deviation over mean
+	Broken                      [ledger.Rules]int
+	Breaches                    []ledger.Breach
+	Seconds                     []Second
+	Events                      int
+	Lanes                       []string
+	P50, P99, P999              []float64 // ms, by lane, of all that were served
+
+	totals []Second
+	times  []*hdrhistogram.Histogram
+}
+
+// Second is what came of one second of the play.
+type Second struct {
+	Offered, InTime, Refused, Failed int
+	Gain, Due                        float64
+}
+
+func newResult(w *world.World, seed uint64) Result {
+	r := Result{World: w.Name, Seed: seed}
+	for _, l := range w.Lanes {
+		r.Lanes = append(r.Lanes, l.Name)
+		r.times = append(r.times, hdrhistogram.New(1, time.Minute.Microseconds(), 3))
+	}
+	return r
+}
+
+func (r *Result) took(lane int, took time.Duration) {
+	_ = r.times[lane].RecordValue(max(took.Microseconds(), 1))
+}
+
+// Percentiles fills in the times of each lane.
+func (r *Result) Percentiles() {
+	r.P50, r.P99, r.P999 = nil, nil, nil
+	for _, h := range r.times {
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		r.P50, r.P99, r.P999 = append(r.P50, ms(50)), append(r.P99, ms(99)), append(r.P999, ms(99.9))
+	}
+}
+
+// Times are the answer times of a lane.
+func (r *Result) Times(lane int) *hdrhistogram.Histogram { return r.times[lane] }
+
+// Service is the part of the due gain that was served in time.
+func (r *Result) Service() float64 { return r.GainServed / max(r.GainDue, 1e-9) }
+
+// Net is the service less what units beyond quotas cost.
+func (r *Result) Net() float64 { return (r.GainServed - r.BeyondGain) / max(r.GainDue, 1e-9) }
--- /dev/null
+++ b/internal/lab/virtual/theory_test.go
@@ -0,0 +1,97 @@
+package virtual
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"harrierhoist/internal/lab/baseline"
+	"harrierhoist/internal/lab/world"
+)
+
+// erlangC is the chance that a task waits at c cores kept busy by a part rho, and so the mean wait over the mean
+// work: C / (c (1 - rho)).
+func erlangC(c int, rho float64) (waits, mean float64) {
+	a := float64(c) * rho
+	sum, term := 0.0, 1.0
+	for k := range c {
+		if k > 0 {
+			term *= a / float64(k)
+		}
+		sum += term
+	}
+	last := term * a / float64(c) / (1 - rho)
+	waits = last / (sum + last)
+	return waits, waits / (float64(c) * (1 - rho))
+}
+
+// open is a world without limits of any kind: tasks come by chance to servers of so many cores.
+func open(servers, cores int, rho float64, length time.Duration) *world.World {
+	w := world.Default()
+	w.Length = world.Span(length)
+	w.Gateways.Count, w.Gateways.Halls = 1, 1
+	w.Servers.Count, w.Servers.Cores, w.Servers.Queue = servers, cores, 1e6
+	w.Servers.Speed = [2]float64{1, 1}
+	w.Servers.Handshake, w.Servers.Connections = 0, 1e6
+	w.Network.Same, w.Network.Cross, w.Network.Jitter = 0, 0, 0
+	work := 20 * time.Millisecond
+	w.Lanes = []world.Lane{{Name: "only", Share: 1, Work: world.Span(work), Spread: "exponential",
+		SoftLimit: world.Span(time.Hour), Patience: world.Span(time.Hour), Gain: 1, Effect: "pure"}}
+	w.Plans = []world.Plan{{Name: "free", Share: 1, Customers: 10, Price: 1}}
+	w.Counter.Rate = 0
+	w.Clients.Retries = 0
+	w.Load.Rate = rho * float64(servers*cores) / work.Seconds()
+	return &w
+}
+
+func TestOneServerWaitsAsErlangSays(t *testing.T) {
+	for _, s := range []struct {
+		cores int
+		rho   float64
+	}{{1, 0.5}, {2, 0.5}, {4, 0.7}, {16, 0.9}} {
+		tasks := 100000.0
+		if s.rho > 0.8 {
+			tasks *= 2
+		}
+		w := open(1, s.cores, s.rho, 0)
+		w.Length = world.Span(time.Duration(tasks / w.Load.Rate * float64(time.Second)))
+		r, err := Play(w, 11, baseline.Random)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, wait := erlangC(s.cores, s.rho)
+		want := (1 + wait) * 20 // ms: work and wait
+		got := r.Times(0).Mean()/1000 - 0.5
+		// The way to the gateway is in the time. A mean within 3% needs some 200,000 tasks at 0.9.
+		if off := math.Abs(got/want - 1); off > 0.03 {
+			t.Errorf("%d cores at %.0f%%: %.2f ms, theory says %.2f (%.1f%% off)", s.cores, s.rho*100, got, want, off*100)
+		} else {
+			t.Logf("%d cores at %.0f%%: %.2f ms, theory %.2f (%.1f%% off), %d tasks", s.cores, s.rho*100, got, want, off*100, r.Offered)
+		}
+	}
+}
+
+func TestTwoChoicesShortenTheTailAsIsKnown(t *testing.T) {
+	// With many servers of one core, the part that holds k tasks or more tends to rho^k with one random choice
+	// and to rho^(2^k - 1) with two (Vvedenskaya, Dobrushin, Karpelevich 1996). By Little's law the mean time in
+	// the system over the mean work is the sum of those parts over k, by rho.
+	rho := 0.8
+	mean := func(made baseline.Make) float64 {
+		r, err := Play(open(200, 1, rho, 12*time.Second), 5, made)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return (r.Times(0).Mean()/1000 - 0.5) / 20
+	}
+	one, two := 1/(1-rho), 0.0
+	for k := 1; k < 12; k++ {
+		two += math.Pow(rho, math.Pow(2, float64(k))-1) / rho
+	}
+	if got := mean(baseline.Random); math.Abs(got/one-1) > 0.05 {
+		t.Errorf("one choice: %.2f, theory %.2f", got, one)
+	}
+	// One gateway sees all tasks, so its own counts are the servers' true ones.
+	if got := mean(baseline.Bucket); math.Abs(got/two-1) > 0.05 {
+		t.Errorf("two choices: %.2f, theory %.2f", got, two)
+	}
+}
--- /dev/null
+++ b/internal/lab/world/world_test.go
@@ -0,0 +1,122 @@
+package world
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestTheWorldsOfTheProjectAreSound(t *testing.T) {
+	files, _ := filepath.Glob("../../../lab/worlds/*.toml")
+	if len(files) < 6 {
+		t.Fatalf("%d worlds found", len(files))
+	}
+	for _, f := range files {
+		if _, err := Read(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestEveryErrorHasItsPlaceAndAllAreToldAtOnce(t *testing.T) {
+	text := `name = "wrong"
+length = "0s"
+
+[gateways]
+count = 0
+
+[[lane]]
+name = "a"
+share = 1
+work = "10ms"
+soft_limit = "100ms"
+patience = "50ms"
+effect = "pure"
+group = "cell"
+
+[[lane]]
+name = "a"
+share = 1
+work = "0s"
+soft_limit = "100ms"
+patience = "200ms"
+
+[load]
+rate = 0
+
+[[trouble]]
+kind = "counter_slwo"
+
+[[trouble]]
+kind = "burst"
+at = "99s"
+`
+	_, err := Parse("w.toml", []byte(text))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{
+		"w.toml:2:1: length is 0s",
+		"w.toml:5:1: gateways.count is 0; from 1 to 100000 is allowed",
+		"w.toml:12:1: lane.0.patience is 50ms, less than the soft limit of 100ms",
+		"w.toml:14:1: lane.0.group is for a receipted lane alone",
+		`w.toml:17:1: lane.1.name is "a"`,
+		"w.toml:19:1: lane.1.work is 0s",
+		"w.toml:24:1: load.rate is 0",
+		`w.toml:27:1: trouble.0.kind is "counter_slwo"; known are answers_lost, burst,`,
+		"w.toml:31:1: trouble.1.at is 1m39s",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("not told: %s\nin:\n%v", want, err)
+		}
+	}
+}
+
+func TestUnknownKeysAndWrongTypesHaveTheirPlaces(t *testing.T) {
+	for text, want := range map[string]string{
+		"name = \"x\"\n\n[servers]\ncores = 2\nthreads = 3\n": "w.toml:5:1: no such key: servers.threads",
+		"[servers]\ncores = \"two\"\n":                        "w.toml:2:9:",
+		"length = \"12 parsecs\"\n":                           "w.toml:1:",
+		"length = \n":                                         "w.toml:1:",
+	} {
+		_, err := Parse("w.toml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+		var f Fault
+		if !errors.As(err, &f) {
+			t.Errorf("%q: no Fault in %v", text, err)
+		}
+	}
+}
+
+func TestContradictionsBetweenWorldAndTrouble(t *testing.T) {
+	for text, want := range map[string]string{
+		"[counter]\nrate = 0\n[[trouble]]\nkind = \"counter_silent\"\n": "and this world has no counter",
+		"[gateways]\nhalls = 1\n[[trouble]]\nkind = \"hall_cut\"\n":     "and this world has one hall",
+		"[[trouble]]\nkind = \"flood\"\nplan = \"gold\"\n":              `"gold", which is no plan`,
+		"[[trouble]]\nkind = \"lane_silent\"\nlane = \"x\"\n":           `"x", which is no lane`,
+		"[[plan]]\nname=\"p\"\nshare=1\ncustomers=1\nrate=2\n":          "burst is 0 with a rate of 2",
+		"[servers]\nspeed = [2.0, 1.0]\n":                               "the first is more than nought and no more than the second",
+	} {
+		if _, err := Parse("w.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("../../../lab/worlds/*.toml")
+	for _, name := range files {
+		text, _ := os.ReadFile(name)
+		f.Add(string(text))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		w, err := Parse("w.toml", []byte(text))
+		if (w == nil) == (err == nil) {
+			t.Fatalf("world %v with error %v", w, err)
+		}
+	})
+}
