Repeats of thin customers wait for a total, calls settle near what the counter takes, smaller parts

Change: decide lets first tries of thin customers go without a total and holds their marked repeats for one, while the counter answers; counted goes 0.75 down and 1% more up for each quick answer in a row; a charge that went alone is not kept and the taken ones weigh for it; a part of the servers holds rate x time kept / 12, at least 8, each server in 8 parts.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -17,11 +17,15 @@
 
 const (
 	// Least is the number of servers in a part, if there are so many: enough that a lost hall or a bad cell leaves
-	// a choice of two, and that the arcs of a few hundred gateways still cover every server many times.
-	Least = 16
+	// a choice of two.
+	Least = 8
+	// coverLeast is in how many parts each server stands, in the mean, at the least: arcs end somewhere, and with
+	// fewer to a server those ends make load uneven.
+	coverLeast = 8.0
 	// useTimes is how often, in the mean, a server of the part gets a push in the time that a connection is kept.
-	// Pushes come by chance: at three, one connection in twenty is closed before its next push.
-	useTimes = 3.0
+	// Three would keep all but one connection in twenty open until its next push. More is better: a gateway's own
+	// counts, which choose between two servers, tell more where it has fewer of them.
+	useTimes = 12.0
 	// rateTime is how far back pushes are counted, in the manner of an average that fades: bursts are shorter, and
 	// each change of the part opens connections.
 	rateTime = 10 * time.Second
@@ -91,7 +95,8 @@
 		return ready
 	}
 	n := p.Rate(now) * p.kept.Seconds() / useTimes
-	return int(min(max(n, Least), float64(ready)))
+	n = max(n, Least, math.Ceil(coverLeast*float64(ready)/float64(p.gateways)))
+	return int(min(n, float64(ready)))
 }
 
 // Due tells, once in a while, whether the part is to be laid out anew as the rate has changed.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,8 +20,9 @@
 	windowLeast = time.Second            // shorter windows would change within the time that an answer takes
 	windowFills = 2.0                    // a window lasts as long as a burst takes to fill so often
 	callPart    = 0.25                   // part of the soft limit that a check may take
-	heedLess    = 0.6                    // a failed call makes the next this much less likely
-	heedMore    = 1.25                   // a quick answer makes it more likely: a dozen of them end a pause
+	heedLess    = 0.75                   // a failed call makes the next this much less likely
+	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more:
+	heedRun     = 25                     // so many of them end a pause, and one call in nine fails in between
 	needWidth   = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
 	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
 	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
@@ -114,8 +115,9 @@
 		g.tightest = min(g.tightest, l.SoftLimit)
 		g.lanes = append(g.lanes, row{Lane: l})
 	}
-	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1}
-	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{}, kinds: map[int]last[time.Duration]{}}
+	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1, taken: 1}
+	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{},
+		kinds: map[int]last[time.Duration]{}}
 	g.course = course{Gateway: g}
 	return g, nil
 }
@@ -168,7 +170,7 @@
 	g.tell(now, &g.fleet.part, note{what: g.fleet.listed, kind: kind, list: list})
 }
 
-// Shared tells how many gateways push to each server that the list names, where each has but a part of them all.
+// Shared tells how many gateways push to each server listed, where each has but a part of them all.
 func (g *Gateway) Shared(by float64) { g.fleet.sharers = max(by, 1) }
 
 // Take takes a task; from here on it is owed one final answer.
@@ -294,6 +296,8 @@
 	hand      int     // the next to be looked at
 	calls     map[uint64][]call
 	heed      float64 // chance that a call is made: 1 while the counter answers
+	run       float64 // quick answers in a row, up to heedRun
+	taken     float64 // share of the latest calls that the counter took
 }
 
 // book is what the desk knows of a customer.
@@ -422,7 +426,6 @@
 func (d *desk) asked(n note) {
 	j, b := n.job, n.job.book
 	b.fill(d.now)
-	spare := d.heed < 1 && j.Repeat && b.thin(j.Units) // the first try was asked for
 	switch {
 	case j.over || j.paid:
 	case j.asked:
@@ -431,7 +434,7 @@
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: j.row.Patience})
 	case b.plan.Rate > 0 && b.left+b.assumed < j.Units && len(b.pending) == 0:
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
-	case d.site.HasCounter && b.plan.Rate > 0 && !spare &&
+	case d.site.HasCounter && b.plan.Rate > 0 &&
 		d.chance.Float64() < math.Pow(d.heed, max(b.left/b.plan.Burst, min(b.width/needWidth, 1))):
 		j.asked = true
 		d.charge(b, j, 1)
@@ -476,13 +479,16 @@
 	}
 	read := n.tally.Outcome == Answered
 	if read && n.tally.Took < d.site.CountLimit {
-		d.heed = min(d.heed*heedMore, 1)
+		d.run = min(d.run+1, heedRun)
+		d.heed = min(d.heed*(1+heedMore*d.run), 1)
 	} else {
-		d.heed = max(d.heed*heedLess, heedLeast)
+		d.run, d.heed = 0, max(d.heed*heedLess, heedLeast)
 	}
-	if !read && n.tally.Outcome != TimedOut {
+	taken := read || n.tally.Outcome == TimedOut
+	d.taken += (map[bool]float64{true: 1}[taken] - d.taken) / samplesRate
+	if !taken && c.job != nil {
 		c.book.pending = append(c.book.pending, c.charges...)
-	} else {
+	} else { // a charge that went alone has no next check: those taken stand for it
 		for _, p := range c.charges {
 			c.book.owed -= p.units
 		}
@@ -529,6 +535,7 @@
 // one burst whatever came before. That guards against two bursts back to back at a window's edge, and against
 // rejecting a customer with room at its end. Its last units go by lot: the count lags, and a sharp edge lets
 // a whole answer time's tasks through at once. Without a total others are assumed to use as much as we, each.
+// That tells nothing of a thin customer: its first tries go, as most have room, and repeats wait for a total.
 func (d *desk) decide(j *job, read bool) {
 	b := j.book
 	j.asked = false
@@ -543,6 +550,11 @@
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: usual})
 		return
 	}
+	blind := !read && thin && d.run > 0 // a lost counter leaves the even share
+	if blind && j.Repeat && d.heed < 1 {
+		d.post(&d.course.part, note{what: d.course.finish, job: j, away: d.fleet.spell()})
+		return
+	}
 	if b.plan.Rate > 0 {
 		chance := 0.0
 		free := b.left - unseen - j.Units
@@ -570,7 +582,7 @@
 	b.out++
 	b.owed += j.Units
 	b.left -= j.Units
-	if others := j.Units * (b.width - 1); !read {
+	if others := j.Units * (b.width - 1); !read && !blind {
 		b.left -= others
 		b.assumed += others
 	}
@@ -604,7 +616,7 @@
 	default:
 		b.pending = append(b.pending, charge{n.units, d.now})
 		if alone {
-			d.charge(b, nil, 1/d.heed)
+			d.charge(b, nil, 1/d.heed/max(d.taken, heedLeast))
 		}
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -507,6 +507,108 @@
 	s.wantPushed(4, 0)
 }
 
+// crowded has the counter take so many of ten calls, turn the others away, and gives how often it was called and how
+// often it refused, after it was called a while. Each task is of a thin customer of its own.
+func (s *story) crowded(tasks int, takes func(call int) bool) (calls, refused int) {
+	s.down = true
+	n := 0
+	for i := range tasks {
+		id := uint32(1000 + i)
+		s.g.Take(s.now, Task{ID: id, Lane: 0, Plan: 1, Customer: uint64(1000 + i), Width: 50, Units: 1, Expires: s.now + 2*time.Second})
+		for len(s.calls) > 0 {
+			c := s.calls[0]
+			s.calls = s.calls[1:]
+			n++
+			how := Answered
+			if !takes(n) {
+				how = Full
+			}
+			if i > tasks/2 {
+				calls++
+				if how == Full {
+					refused++
+				}
+			}
+			s.g.Counted(s.now, Tally{Name: c.name, Took: ms, Outcome: how})
+		}
+		s.pass(5 * ms)
+		s.end(id, Answered)
+	}
+	return calls, refused
+}
+
+func TestCallsSettleALittleAboveWhatTheCounterTakes(t *testing.T) {
+	s := thin(t)
+	// The counter bears a call each 20 ms, and a few at once: far less than the two that a task each 5 ms would make.
+	var free time.Duration
+	calls, refused := s.crowded(4000, func(int) bool {
+		if free = max(free, s.now-100*ms); free > s.now {
+			return false
+		}
+		free += 20 * ms
+		return true
+	})
+	if part := float64(refused) / float64(calls); part > 0.2 || calls < 200 {
+		t.Errorf("%d of %d calls turned away (%.2f), want under a fifth", refused, calls, part)
+	}
+}
+
+func TestACrowdedCounterLetsFirstTriesOfThinCustomersGoAndHoldsRepeats(t *testing.T) {
+	s := thin(t)
+	s.crowded(400, func(n int) bool { return n%3 != 0 })
+	s.g.desk.heed = heedLeast // nearly no call goes out
+	first, again := 0, 0
+	for i := range 100 {
+		s.g.desk.run = 1 // the counter answered a moment ago
+		for _, repeat := range []bool{false, true} {
+			id := uint32(5000 + 2*i)
+			if repeat {
+				id++
+			}
+			s.g.Take(s.now, Task{ID: id, Lane: 0, Plan: 1, Customer: uint64(9000 + i), Width: 50, Units: 1, Expires: s.now + 2*time.Second, Repeat: repeat})
+			s.calls = nil
+			n := s.pushed(id)
+			if s.end(id, Answered); repeat {
+				again += n
+			} else {
+				first += n
+			}
+		}
+		s.pass(100 * ms)
+	}
+	if first < 85 || again > 10 {
+		t.Errorf("%d first tries and %d repeats of a hundred each pushed without a total", first, again)
+	}
+}
+
+func TestChargesThatTheCounterTurnsAwayStandInThoseItTakes(t *testing.T) {
+	s := thin(t)
+	s.crowded(1500, func(n int) bool { return n%2 == 0 }) // half of all calls are turned away
+	total, tasks := 0.0, 3000
+	for i := range tasks {
+		id := uint32(10000 + i)
+		s.g.desk.heed, s.g.desk.taken = 0.5, 0.5
+		s.g.Take(s.now, Task{ID: id, Lane: 0, Plan: 1, Customer: uint64(20000 + i), Width: 50, Units: 1, Expires: s.now + 2*time.Second})
+		s.calls = nil
+		s.g.desk.heed, s.g.desk.taken = 0.5, 0.5
+		pushed := s.pushed(id)
+		s.end(id, Answered)
+		for _, c := range s.calls {
+			if s.g.chance.Float64() < 0.5 {
+				total += c.units
+			}
+		}
+		s.calls = nil
+		if pushed == 0 {
+			tasks--
+		}
+		s.pass(2 * ms)
+	}
+	if part := total / float64(tasks); part < 0.85 || part > 1.15 {
+		t.Errorf("the count has %.2f of the units sent on", part)
+	}
+}
+
 func TestSlowFleetShedsByTheTimesOfPushes(t *testing.T) {
 	d := site()
 	d.Gateways = 50
