First tries of thin customers keep the even share again; repeats still wait for a total

Change: without a total others are reckoned with as much as we, each, as before; marked repeats of thin customers are held.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -535,7 +535,7 @@
 // one burst whatever came before. That guards against two bursts back to back at a window's edge, and against
 // rejecting a customer with room at its end. Its last units go by lot: the count lags, and a sharp edge lets
 // a whole answer time's tasks through at once. Without a total others are assumed to use as much as we, each.
-// That tells nothing of a thin customer: its first tries go, as most have room, and repeats wait for a total.
+// Repeats of thin customers wait for a total: each would be one more chance of its task to pass unseen.
 func (d *desk) decide(j *job, read bool) {
 	b := j.book
 	j.asked = false
@@ -550,8 +550,7 @@
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: usual})
 		return
 	}
-	blind := !read && thin && d.run > 0 // a lost counter leaves the even share
-	if blind && j.Repeat && d.heed < 1 {
+	if !read && thin && j.Repeat && d.heed < 1 && d.run > 0 { // a lost counter leaves the even share
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: d.fleet.spell()})
 		return
 	}
@@ -582,7 +581,7 @@
 	b.out++
 	b.owed += j.Units
 	b.left -= j.Units
-	if others := j.Units * (b.width - 1); !read && !blind {
+	if others := j.Units * (b.width - 1); !read {
 		b.left -= others
 		b.assumed += others
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -553,7 +553,7 @@
 	}
 }
 
-func TestACrowdedCounterLetsFirstTriesOfThinCustomersGoAndHoldsRepeats(t *testing.T) {
+func TestACrowdedCounterHoldsRepeatsOfThinCustomersForATotal(t *testing.T) {
 	s := thin(t)
 	s.crowded(400, func(n int) bool { return n%3 != 0 })
 	s.g.desk.heed = heedLeast // nearly no call goes out
