One layout of parts for gateway and laboratory; xxhash for its order; dead code out

Change: pool.Part takes and gives listed servers; marks are made once; xxhash orders cells; the rest is out or written down.

--- a/cmd/hoistlab/main_test.go
+++ b/cmd/hoistlab/main_test.go
@@ -68,8 +68,8 @@
 
 func TestDemo(t *testing.T) {
 	got := run(t, "demo", "--for", "3s", "--charts", t.TempDir())
-	for _, want := range []string{"2 real", "served", "s-0008", "rules broken, by the servers' and clients' record: [0 0 0 0 0]", "chart: "} {
-		if want != "2 real" && !strings.Contains(got, want) {
+	for _, want := range []string{"gateways at [127.0.0.1:", "served", "s-0008", "rules broken, by the servers' and clients' record: [0 0 0 0 0]", "chart: "} {
+		if !strings.Contains(got, want) {
 			t.Errorf("no %q in\n%s", want, got)
 		}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"harrierhoist/internal/pool"
@@ -35,6 +34,7 @@
 type Server struct {
 	Name, Dial string
 	Listed     policy.Listed // its number is given here
+	mark       uint64        // of its name
 }
 
 // Task is what a client asks; Patience counts from now.
@@ -207,7 +207,10 @@
 			n = g.named
 			g.numbers[s.Name] = n
 		}
-		s.Listed.Server = n
+		s.Listed.Server, s.mark = n, g.servers[n].mark
+		if !known {
+			s.mark = pool.Mark(s.Name)
+		}
 		g.servers[n] = s
 	}
 	for name, n := range left {
@@ -224,19 +227,14 @@
 	all := make([]pool.Server, 0, len(numbers))
 	for _, n := range numbers {
 		s := g.servers[n]
-		all = append(all, pool.Server{Mark: xxhash.Sum64String(s.Name), Hall: s.Listed.Hall, Cell: s.Listed.Cell,
-			Ready: s.Listed.Stage == policy.Ready})
+		all = append(all, pool.Server{Mark: s.mark, Listed: s.Listed})
 	}
 	part, sharers := g.pool.Part(now, all)
-	list := make([]policy.Listed, 0, len(part))
-	for _, at := range part {
-		list = append(list, g.servers[numbers[at]].Listed)
-	}
 	if kind == policy.ListChanges {
 		kind = policy.ListWhole
 	}
 	g.module.Shared(sharers)
-	g.module.List(now, kind, list)
+	g.module.List(now, kind, part)
 }
 
 // Wanted is told when the list of servers is to be asked for again.
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -75,9 +75,6 @@
 	server  uint32
 }
 
-// effect is a receipted effect within a group of servers.
-type effect struct{ key uint64 }
-
 // store is what a customer has left, truly.
 type store struct {
 	left, ceiling float64
@@ -90,7 +87,7 @@
 	tasks  map[uint64]*entry
 	queue  []uint64 // by the time they were taken
 	away   map[told]time.Duration
-	keys   map[effect]time.Duration // when the effect first happened
+	keys   map[uint64]time.Duration // when a receipted effect first happened
 	stores map[uint64]*store
 	still  map[int][2]time.Duration // when a gateway's machine stood still last
 	now    time.Duration
@@ -113,7 +110,7 @@
 // New makes an empty ledger.
 func New(limits Limits) *Ledger {
 	return &Ledger{limits: limits, tasks: map[uint64]*entry{}, away: map[told]time.Duration{},
-		keys: map[effect]time.Duration{}, stores: map[uint64]*store{},
+		keys: map[uint64]time.Duration{}, stores: map[uint64]*store{},
 		still: map[int][2]time.Duration{}}
 }
 
@@ -284,12 +281,11 @@
 				What: fmt.Sprintf("run %d of an effectful task", e.ran)})
 		}
 	case policy.Receipted:
-		k := effect{e.Key}
-		if first, done := l.keys[k]; done {
+		if first, done := l.keys[e.Key]; done {
 			l.breach(Breach{Rule: Twice, Task: e.ID, Gateway: e.Gateway, Server: server, Customer: e.Customer,
 				What: fmt.Sprintf("its receipt ran before, at %.3fs", first.Seconds())})
 		} else {
-			l.keys[k] = at
+			l.keys[e.Key] = at
 		}
 	}
 }
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -18,12 +19,9 @@
 	"sync/atomic"
 	"time"
 
-	"encoding/json"
-
 	"harrierhoist/internal/lab/ledger"
 	"harrierhoist/internal/lab/world"
 	"harrierhoist/internal/resp"
-	"harrierhoist/policy"
 )
 
 const (
@@ -185,7 +183,6 @@
 
 	mu     sync.Mutex
 	chance *rand.Rand
-	keys   map[string]string // answers by receipt
 	conns  map[net.Conn]struct{}
 	over   bool
 }
@@ -197,7 +194,7 @@
 	}
 	s := &Server{Name: fmt.Sprintf("s-%04d", number), Addr: listener.Addr().String(), world: l, number: number, health: "in_service",
 		listener: listener, cores: make(chan struct{}, l.World.Servers.Cores), chance: rand.New(rand.NewPCG(seed, 9)),
-		keys: map[string]string{}, conns: map[net.Conn]struct{}{}}
+		conns: map[net.Conn]struct{}{}}
 	s.Slow(1)
 	go s.accept()
 	return s, nil
@@ -499,8 +496,3 @@
 	d.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(page)
 }
-
-// Effect is a lane's effect, for clients that have to know whether they may ask again.
-func Effect(l world.Lane) policy.Effect {
-	return map[string]policy.Effect{"pure": policy.Pure, "receipted": policy.Receipted, "effectful": policy.Effectful}[l.Effect]
-}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -34,7 +34,6 @@
 
 	mu    sync.Mutex
 	idle  map[string][]*resp.Conn
-	plans [][]float64
 	lanes []float64
 }
 
@@ -180,6 +179,7 @@
 
 func (d *Driver) sums() {
 	sum := 0.0
+	d.lanes = nil
 	for _, l := range d.World.Lanes {
 		sum += l.Share
 		d.lanes = append(d.lanes, sum)
--- a/internal/lab/virtual/engine.go
+++ b/internal/lab/virtual/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -34,7 +33,6 @@
 	clients  *clients
 	ledger   *ledger.Ledger
 	make     baseline.Make
-	slots    int
 
 	loadTimes   float64 // what burst makes of the load
 	planTimes   []float64
@@ -184,6 +182,3 @@
 	}
 	return math.Sqrt(square/float64(len(loads))) / mean
 }
-
-// clock writes a time of the play.
-func clock(t time.Duration) string { return fmt.Sprintf("%.3fs", (t - origin).Seconds()) }
--- a/internal/lab/virtual/gateway.go
+++ b/internal/lab/virtual/gateway.go
@@ -3,11 +3,8 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"harrierhoist/internal/lab/baseline"
 	"harrierhoist/internal/pool"
 	"harrierhoist/policy"
@@ -31,7 +28,6 @@
 	next  uint32
 	wakes map[uint64]*wake
 	conns map[uint32]*conns
-	spare []*wake
 }
 
 type wake struct{ off bool }
@@ -117,17 +113,11 @@
 	numbers := slices.Sorted(maps.Keys(g.list))
 	all := make([]pool.Server, 0, len(numbers))
 	for _, n := range numbers {
-		l := g.list[n]
-		all = append(all, pool.Server{Mark: xxhash.Sum64String("s-" + strconv.Itoa(int(n))), Hall: l.Hall, Cell: l.Cell,
-			Ready: l.Stage == policy.Ready})
+		all = append(all, pool.Server{Mark: g.e.servers[n-1].mark, Listed: g.list[n]})
 	}
 	part, sharers := g.pool.Part(g.e.now, all)
-	list := make([]policy.Listed, 0, len(part))
-	for _, at := range part {
-		list = append(list, g.list[numbers[at]])
-	}
 	g.d.Shared(sharers)
-	g.d.List(g.e.now, policy.ListWhole, list)
+	g.d.List(g.e.now, policy.ListWhole, part)
 }
 
 // take takes a try that has come whole.
--- a/internal/lab/virtual/server.go
+++ b/internal/lab/virtual/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
+	"harrierhoist/internal/pool"
 	"harrierhoist/policy"
 )
 
@@ -11,6 +13,7 @@
 type server struct {
 	e          *engine
 	id         uint32
+	mark       uint64 // of its name, as in the gateway's part of the servers
 	hall, cell int
 	speed      float64
 	since      time.Duration // of its latest start; 0: long ago
@@ -49,6 +52,7 @@
 	if since > 0 {
 		s.starts = 1
 	}
+	s.mark = pool.Mark("s-" + strconv.Itoa(int(s.id)))
 	e.servers = append(e.servers, s)
 	return s
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,9 +10,14 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"harrierhoist/policy"
 )
 
 const (
@@ -41,11 +46,13 @@
 
 // Server is a server as the list has it. Mark is common to all gateways: a hash of its name.
 type Server struct {
-	Mark       uint64
-	Hall, Cell int
-	Ready      bool // wants new pushes
+	Mark uint64
+	policy.Listed
 }
 
+// Mark is the mark of a name.
+func Mark(name string) uint64 { return xxhash.Sum64String(name) }
+
 // Pool is one gateway's part.
 type Pool struct {
 	kept     time.Duration
@@ -109,13 +116,13 @@
 	return math.Abs(float64(n-p.length)) > slack*float64(p.length) || n == p.all && p.length < n
 }
 
-// Part lays the part out: the places in the list of the servers that are in it, in the list's order, and how many
-// gateways share each of them in the mean.
-func (p *Pool) Part(now time.Duration, list []Server) (part []int, sharers float64) {
+// Part lays the part out: the servers of the list that are in it, in the list's order, and how many gateways share
+// each of them in the mean. Only those that are ready are.
+func (p *Pool) Part(now time.Duration, list []Server) (part []policy.Listed, sharers float64) {
 	halls := map[int][]int{}
 	p.all = 0
 	for i, s := range list {
-		if s.Ready {
+		if s.Stage == policy.Ready {
 			halls[s.Hall] = append(halls[s.Hall], i)
 			p.all++
 		}
@@ -125,10 +132,14 @@
 		return nil, float64(p.gateways)
 	}
 	share := float64(p.length) / float64(p.all)
+	var places []int
 	for hall, ring := range halls {
-		part = append(part, p.arc(hall, ring, list, share)...)
+		places = append(places, p.arc(hall, ring, list, share)...)
+	}
+	slices.Sort(places)
+	for _, at := range places {
+		part = append(part, list[at].Listed)
 	}
-	slices.Sort(part)
 	// Others' traffic is taken to be as ours: their parts are as long.
 	return part, max(float64(p.gateways)*float64(len(part))/float64(p.all), 1)
 }
@@ -141,7 +152,9 @@
 	if length >= n {
 		return ring
 	}
-	cell := func(s Server) uint64 { return mix(uint64(s.Hall)<<32 | uint64(uint32(s.Cell))) }
+	cell := func(s Server) uint64 {
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(s.Hall)<<32|uint64(uint32(s.Cell))))
+	}
 	slices.SortFunc(ring, func(a, b int) int {
 		x, y := list[a], list[b]
 		return cmp.Or(cmp.Compare(cell(x), cell(y)), cmp.Compare(x.Cell, y.Cell), cmp.Compare(x.Mark, y.Mark))
@@ -154,10 +167,3 @@
 	}
 	return arc
 }
-
-// mix is the finisher of a hash (splitmix64): near numbers come out far apart.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"harrierhoist/policy"
 )
 
 // fleet is so many ready servers, in halls in turn and cells of six.
@@ -14,13 +16,13 @@
 	list := make([]Server, servers)
 	for i := range list {
 		hall := i % halls
-		list[i] = Server{Mark: chance.Uint64(), Hall: hall, Cell: i/halls/6*halls + hall, Ready: true}
+		list[i] = Server{chance.Uint64(), policy.Listed{Server: uint32(i), Stage: policy.Ready, Hall: hall, Cell: i/halls/6*halls + hall}}
 	}
 	return list
 }
 
 // steady has a gateway push at a rate for a while, and gives its part then.
-func steady(me, gateways int, rate float64, list []Server) ([]int, float64) {
+func steady(me, gateways int, rate float64, list []Server) ([]policy.Listed, float64) {
 	p := New(me, gateways, 15*time.Second)
 	now := time.Hour
 	p.Part(now, list)
@@ -40,8 +42,8 @@
 		if len(part) == 0 {
 			t.Fatalf("gateway %d has no part", me)
 		}
-		for _, at := range part {
-			got[at] += rate(me) / float64(len(part))
+		for _, l := range part {
+			got[l.Server] += rate(me) / float64(len(part))
 		}
 	}
 	return got
@@ -51,14 +53,14 @@
 func uneven(loads []float64, list []Server) (deviation, least, most float64) {
 	sum, n, least := 0.0, 0.0, math.Inf(1)
 	for i, l := range loads {
-		if list[i].Ready {
+		if list[i].Stage == policy.Ready {
 			sum, n = sum+l, n+1
 			least, most = min(least, l), max(most, l)
 		}
 	}
 	mean, square := sum/n, 0.0
 	for i, l := range loads {
-		if list[i].Ready {
+		if list[i].Stage == policy.Ready {
 			square += (l - mean) * (l - mean)
 		}
 	}
@@ -125,7 +127,9 @@
 func TestLoadStaysEvenAfterAHallIsLostAndAfterADeploy(t *testing.T) {
 	list := fleet(180, 3)
 	for i := range list {
-		list[i].Ready = list[i].Hall != 1
+		if list[i].Hall == 1 {
+			list[i].Stage = policy.Gone
+		}
 	}
 	if deviation, _, most := uneven(load(t, 300, func(int) float64 { return 9 }, list), list); deviation > 0.08 || most > 1.25 {
 		t.Errorf("a hall lost: deviation %.3f, busiest %.2f", deviation, most)
@@ -134,8 +138,8 @@
 	list = fleet(180, 3)
 	for i := range list {
 		if chance.Float64() < 0.6 {
-			list[i].Ready = false
-			list = append(list, Server{Mark: chance.Uint64(), Hall: list[i].Hall, Cell: list[i].Cell, Ready: true})
+			list[i].Stage = policy.Draining
+			list = append(list, Server{chance.Uint64(), policy.Listed{Server: uint32(len(list)), Stage: policy.Ready, Hall: list[i].Hall, Cell: list[i].Cell}})
 		}
 	}
 	if deviation, _, most := uneven(load(t, 300, func(int) float64 { return 9 }, list), list); deviation > 0.08 || most > 1.25 {
@@ -155,8 +159,8 @@
 		for me := range 300 {
 			if local(me) {
 				part, _ := steady(me, 300, 9, list)
-				for _, at := range part {
-					cover[at]++
+				for _, l := range part {
+					cover[l.Server]++
 				}
 			}
 		}
@@ -173,11 +177,11 @@
 	moved := 0
 	for gone := range list {
 		changed := slices.Clone(list)
-		changed[gone].Ready = false
+		changed[gone].Stage = policy.Gone
 		after, _ := p.Part(time.Second, changed)
 		fresh := 0
-		for _, at := range after {
-			if !slices.Contains(before, at) {
+		for _, l := range after {
+			if !slices.Contains(before, l) {
 				fresh++
 			}
 		}
@@ -195,8 +199,8 @@
 	list := fleet(180, 3)
 	part, _ := steady(8, 300, 9, list)
 	cells := map[int]int{}
-	for _, at := range part {
-		cells[list[at].Cell]++
+	for _, l := range part {
+		cells[l.Cell]++
 	}
 	whole := 0
 	for _, n := range cells {
@@ -212,10 +216,10 @@
 func TestTheOrderOfTheListDoesNotMatter(t *testing.T) {
 	list := fleet(90, 2)
 	p := New(3, 100, 15*time.Second)
-	marks := func(list []Server) (all []uint64) {
+	marks := func(list []Server) (all []uint32) {
 		part, _ := p.Part(time.Second, list)
-		for _, at := range part {
-			all = append(all, list[at].Mark)
+		for _, l := range part {
+			all = append(all, l.Server)
 		}
 		slices.Sort(all)
 		return all
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,8 +21,8 @@
 	windowFills = 2.0                    // a window lasts as long as a burst takes to fill so often
 	callPart    = 0.25                   // part of the soft limit that a check may take
 	heedLess    = 0.75                   // a failed call makes the next this much less likely
-	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more:
-	heedRun     = 25                     // so many of them end a pause, and one call in nine fails in between
+	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more
+	heedRun     = 25                     // so many of them end a pause; at rest one call in nine fails
 	needWidth   = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
 	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
 	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
@@ -465,9 +465,8 @@
 	d.host.Count(id, min(2*c.book.length, keepMost), c.sum)
 }
 
-// counted takes a total. Charges of a call that timed out are held to have been added: a count too high
-// rejects to its window's end, one too low is one of several guards. Calls are left out by lot as they go
-// wrong: that crowds no counter further, and gateways keep out of step.
+// counted takes a total. Charges of a call that timed out are held to have been added: a count too high rejects
+// to its window's end, one too low is one of several guards. Calls are left out by lot as they go wrong.
 func (d *desk) counted(n note) {
 	queue := d.calls[n.tally.Name]
 	if len(queue) == 0 {
@@ -485,7 +484,9 @@
 		d.run, d.heed = 0, max(d.heed*heedLess, heedLeast)
 	}
 	taken := read || n.tally.Outcome == TimedOut
-	d.taken += (map[bool]float64{true: 1}[taken] - d.taken) / samplesRate
+	if d.taken -= d.taken / samplesRate; taken {
+		d.taken += 1.0 / samplesRate
+	}
 	if !taken && c.job != nil {
 		c.book.pending = append(c.book.pending, c.charges...)
 	} else { // a charge that went alone has no next check: those taken stand for it
