An empty whole list from discovery leaves the last list standing, said once

Seen in a story against the stand-in discovery (TestEmptyWholeListLeavesTheLastStanding: verdict Reject without the change).

Change: a whole list with no server, where the gate held some, is turned down with one warning a run; the watch goes on from its version. Harm: servers that were truly all withdrawn are given up by their failures alone.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -44,6 +44,8 @@
 	halls, kinds []string
 	seq          int64
 	first        chan struct{} // closed with the first answer
+	held         bool          // a list with servers has been handed to the gate
+	emptied      bool          // an empty whole list was turned down, and said so
 	once         sync.Once
 }
 
@@ -58,6 +60,7 @@
 			return nil, fmt.Errorf("configuration: known: %w", err)
 		}
 		g.List(policy.ListCached, l.servers)
+		r.held = len(l.servers) > 0
 	}
 	return r, nil
 }
@@ -137,8 +140,19 @@
 		if l.whole {
 			kind = policy.ListWhole
 		}
-		if len(l.servers) > 0 || l.whole {
+		switch {
+		case l.whole && len(l.servers) == 0 && r.held:
+			// A whole list with no server in it, where we had some: taken at its word, it would leave the gate
+			// nothing to push to, and every task rejected, where an agent that lost its list is the likelier
+			// cause. Harm: servers that were truly all withdrawn are given up by their failures alone.
+			if !r.emptied {
+				r.log.Warn("discovery tells an empty list; the last list stands")
+			}
+			r.emptied = true
+		case len(l.servers) > 0 || l.whole:
 			r.gate.List(kind, l.servers)
+			r.held = r.held || len(l.servers) > 0
+			r.emptied = false
 		}
 		r.seq, seen = l.seq, true
 		r.once.Do(func() { close(r.first) })
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"harrierhoist/internal/boot"
 	"harrierhoist/internal/gate"
@@ -159,3 +160,41 @@
 		t.Error("no list after two refusals")
 	}
 }
+
+// An agent that lost its list answered with a whole list of no servers; taken at its word it left the gate
+// nothing to push to, and every task was rejected. The last list stands, and the log says so once.
+func TestEmptyWholeListLeavesTheLastStanding(t *testing.T) {
+	d := standin.NewDiscovery(t, standin.Host("s-1", "127.0.0.1:9", "in_service"))
+	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, PushLimit: 5,
+		AnswerSlack: 8 * time.Millisecond, TipAfter: time.Second, DrainGrace: time.Second,
+		Lanes: []policy.Lane{{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second,
+			Effect: policy.Pure}},
+		Plans: []policy.Plan{{Name: "open"}}}
+	g, err := gate.New(site, 1, gate.Outside{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go g.Tick(ctx)
+	seen, logs := observer.New(zap.InfoLevel)
+	r, err := New(&boot.Handed{Discovery: d.Addr, Halls: []string{"hall-a"}, Kinds: []string{"m1"}, Known: []byte("null")},
+		g, zap.New(seen))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go r.Watch(ctx)
+	<-r.First()
+	d.Tell(true)
+	d.Tell(true)
+	for q := ""; !strings.HasPrefix(q, "since=3&"); { // both empty lists are read
+		q = <-d.Queries
+	}
+	e := g.Admit(gate.Task{Lane: 0, Plan: 0, Customer: 5, Units: 1, Width: 1, Patience: 2 * time.Second})
+	if c := e.Pick(); c.Verdict != gate.Push {
+		t.Errorf("verdict %v: the servers were given up", c.Verdict)
+	}
+	if n := logs.FilterMessageSnippet("empty list").Len(); n != 1 {
+		t.Errorf("said %d times", n)
+	}
+}
