Start errors name the file, the key and what is allowed there, in one line

The lines named the key alone ('limits.sockets is missing' also for -3), never the file; the settings' own already said what is allowed.

Change: boot.Read puts the file before every error of its content; sockets, seed, addresses and the counter say what they want. Test: TestBadValueIsSaidWithFileKeyAndWhatIsAllowed (fails on the old lines).

--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -1,6 +1,8 @@
 package boot
 
 import (
+	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -79,3 +81,34 @@
 		t.Error("no file was taken")
 	}
 }
+
+// An operator with a wrong value was told the key alone, or not what is allowed there; with several files about,
+// which one was wrong was left to guess. One line names the file, the key and what is allowed.
+func TestBadValueIsSaidWithFileKeyAndWhatIsAllowed(t *testing.T) {
+	good := `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"00000000000000aa","limits":{"sockets":%s},` +
+		`"settings":{}}`
+	for _, c := range []struct{ sockets, key, allowed string }{
+		{`0`, "limits.sockets", "above 0"},
+		{`-3`, "limits.sockets", "above 0"},
+	} {
+		path := filepath.Join(t.TempDir(), "gateway.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(good, "%s", c.sockets, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(path)
+		if err == nil {
+			t.Fatalf("sockets %s taken", c.sockets)
+		}
+		msg := err.Error()
+		if !strings.Contains(msg, path) || !strings.Contains(msg, c.key) || !strings.Contains(msg, c.allowed) ||
+			strings.Contains(msg, "\n") {
+			t.Errorf("sockets %s: %q", c.sockets, msg)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "gateway.json")
+	_ = os.WriteFile(path, []byte(strings.Replace(strings.Replace(good, "%s", "8", 1), "00000000000000aa", "xyz", 1)), 0o600)
+	if _, err := Read(path); err == nil || !strings.Contains(err.Error(), path) ||
+		!strings.Contains(err.Error(), "seed: 16 hex digits are wanted") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/boot/handed.go
+++ b/internal/boot/handed.go
@@ -30,16 +30,20 @@
 	Known json.RawMessage // the servers as last had, in discovery's form
 }
 
-// Read reads the configuration file.
+// Read reads the configuration file. Errors name the file, the key and what is allowed there, in one line.
 func Read(path string) (*Handed, error) {
 	if path == "" {
-		return nil, errors.New("no configuration file is named")
+		return nil, errors.New("no configuration file is named (RELAY_CONFIG)")
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		return nil, err // the error names the file
 	}
-	return parse(text)
+	h, err := parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return h, nil
 }
 
 func parse(text []byte) (*Handed, error) {
@@ -59,15 +63,15 @@
 	}
 	for name, value := range map[string]string{"listen": file.Listen, "discovery": file.Discovery, "counter": file.Counter} {
 		if _, _, err := net.SplitHostPort(value); err != nil && (value != "" || name != "counter") {
-			return nil, fmt.Errorf("configuration: %s: %w", name, err)
+			return nil, fmt.Errorf("configuration: %s: host:port is wanted: %w", name, err)
 		}
 	}
 	if file.Limits.Sockets <= 0 {
-		return nil, errors.New("configuration: limits.sockets is missing")
+		return nil, fmt.Errorf("configuration: limits.sockets: a whole number above 0 is wanted, not %d", file.Limits.Sockets)
 	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
 	if err != nil {
-		return nil, fmt.Errorf("configuration: seed is not 16 hex digits: %q", file.Seed)
+		return nil, fmt.Errorf("configuration: seed: 16 hex digits are wanted, not %q", file.Seed)
 	}
 	p := &Pairs{values: map[string]string{}}
 	p.nest("", file.Settings)
@@ -80,7 +84,7 @@
 		Known:         file.Known}
 	h.Deployment, err = Deployment(p)
 	if err == nil && h.Deployment.HasCounter && h.Counter == "" {
-		err = errors.New("configuration: counter is missing")
+		err = errors.New("configuration: counter: host:port is wanted where the settings have a counter")
 	}
 	return h, err
 }
