--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -22,7 +22,14 @@
 func begin(t *testing.T, discovery, known string) (*Roster, error) {
 	t.Helper()
 	site := policy.Deployment{Gateways: 1, Tick: time.Millisecond, Lanes: []policy.Lane{{}}, Plans: []policy.Plan{{}}}
-	g, err := gate.New(site, 1, gate.Outside{}, zap.NewNop())
+	r, _, err := beginWith(t, site, discovery, known, zap.NewNop())
+	return r, err
+}
+
+// beginWith starts a roster that feeds a gate of its own for the deployment, and returns both.
+func beginWith(t *testing.T, site policy.Deployment, discovery, known string, log *zap.Logger) (*Roster, *gate.Gate, error) {
+	t.Helper()
+	g, err := gate.New(site, 1, gate.Outside{}, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,11 +38,11 @@
 	go g.Tick(ctx)
 	told := &boot.Handed{Discovery: discovery, Halls: []string{"hall-a", "hall-b"}, Kinds: []string{"m1", "m2"},
 		Known: []byte(known)}
-	r, err := New(told, g, zap.NewNop())
+	r, err := New(told, g, log)
 	if err == nil {
 		go r.Watch(ctx)
 	}
-	return r, err
+	return r, g, err
 }
 
 func TestEntriesAreRead(t *testing.T) {
@@ -170,20 +177,11 @@
 		Lanes: []policy.Lane{{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second,
 			Effect: policy.Pure}},
 		Plans: []policy.Plan{{Name: "open"}}}
-	g, err := gate.New(site, 1, gate.Outside{}, zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go g.Tick(ctx)
 	seen, logs := observer.New(zap.InfoLevel)
-	r, err := New(&boot.Handed{Discovery: d.Addr, Halls: []string{"hall-a"}, Kinds: []string{"m1"}, Known: []byte("null")},
-		g, zap.New(seen))
+	r, g, err := beginWith(t, site, d.Addr, "null", zap.New(seen))
 	if err != nil {
 		t.Fatal(err)
 	}
-	go r.Watch(ctx)
 	<-r.First()
 	d.Tell(true)
 	d.Tell(true)
