--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -196,3 +196,32 @@
 		t.Errorf("said %d times", n)
 	}
 }
+
+// A discovery that answers with what is no list: the last list stands, and the log says so once however often.
+func TestMalformedListLeavesTheLastStandingSaidOnce(t *testing.T) {
+	l := standin.Listen(t)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"seq":1,"hosts":7}`)
+	})}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, PushLimit: 5,
+		AnswerSlack: 8 * time.Millisecond, TipAfter: time.Second, DrainGrace: time.Second,
+		Lanes: []policy.Lane{{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second,
+			Effect: policy.Pure}},
+		Plans: []policy.Plan{{Name: "open"}}}
+	seen, logs := observer.New(zap.InfoLevel)
+	_, g, err := beginWith(t, site, l.Addr().String(),
+		standin.List(1, true, standin.Host("s-1", "127.0.0.1:9", "in_service")), zap.New(seen))
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond) // several calls, each answered with no list
+	e := g.Admit(gate.Task{Lane: 0, Plan: 0, Customer: 5, Units: 1, Width: 1, Patience: 2 * time.Second})
+	if c := e.Pick(); c.Verdict != gate.Push {
+		t.Errorf("verdict %v: the list as last had was given up", c.Verdict)
+	}
+	if n := logs.FilterMessageSnippet("does not answer").Len(); n != 1 {
+		t.Errorf("said %d times", n)
+	}
+}
