Limit on pushes out counted over all gateways; hasty clients are not late; repeats wait

Now its count is one of pushes out: the check adds its own one, the end gives it back; windows of 2 s bound what a lost call or a dead gateway leaves. Without a total own first tries say how much is out.

--- a/policy/fake_test.go
+++ b/policy/fake_test.go
@@ -98,6 +98,7 @@
 			{Name: "small", Rate: 2, Burst: 10},
 			{Name: "capped", Rate: 100, Burst: 400, CeilingRate: 10, CeilingBurst: 20},
 			{Name: "few", Rate: 1000, Burst: 4000, AtOnce: 2},
+			{Name: "out", AtOnce: 2},
 		},
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,37 +15,41 @@
 )
 
 const (
-	keepMost    = 60 * time.Second       // the longest that the counter keeps a name
-	chargeStale = time.Minute            // a charge that waited longer is dropped, as the design says
-	windowLeast = time.Second            // shorter windows would change within the time that an answer takes
-	windowFills = 2.0                    // a window lasts as long as a burst takes to fill so often
-	callPart    = 0.25                   // part of the soft limit that a check may take
-	heedLess    = 0.75                   // a failed call makes the next this much less likely
-	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more
-	heedRun     = 25                     // so many of them end a pause; at rest one call in nine fails
-	needWidth   = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
-	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
-	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
-	rampTimes   = 4.0                    // so many answer times' units, a thin customer's last, go by lot
-	furtherMost = 2                      // further pushes of a task while no overload is seen: the users' way
-	samplesMany = 64                     // samples kept of a lane or the fleet: enough for a ninth decile
-	samplesLoad = 128                    // answers of warm servers kept to tell the load that they bear
-	illLeast    = 3                      // a failure counts so much, turned away 1: less in a row may be chance
-	struckPart  = 0.25                   // where more of the ready servers failed lately, one tells little
-	struckLeast = 2.0                    // and more than so many: these may all be bad
-	asideLeast  = time.Second            // a server set aside is left alone so long at least
-	asideTimes  = 4.0                    // and for so many of our usual pushes to one: a fifth of its part
-	silentTimes = 4                      // a push out this many ninth deciles with no answer since means silence
-	silentLeast = 500 * time.Millisecond // and at least this, against one heavy task
-	retryLook   = 20 * time.Millisecond  // how often tasks that wait for a server look again
-	listAgain   = 500 * time.Millisecond // pause before asking for a list again
-	samplesRate = 16                     // answers kept a server to tell its rate
-	calmLeast   = 0.1                    // part of the tasks that is pushed at any push times: to learn better
-	boundFree   = 2.0                    // pushes of all gateways at a server beyond its rate: to find a higher
-	boundLeast  = 4                      // answers of a server that tell its rate
-	boundPart   = 0.3                    // part of the tightest soft limit that a push may spend at a server
-	waitPart    = 0.25                   // part of the tightest soft limit that a task waits for a full server
-	hallPrice   = 0.25                   // a server in another hall counts as this much fuller: ties stay near
+	keepMost     = 60 * time.Second // the longest that the counter keeps a name
+	chargeStale  = time.Minute      // a charge that waited longer is dropped, as the design says
+	windowLeast  = time.Second      // shorter windows would change within the time that an answer takes
+	windowClaims = 2 * time.Second  // windows of the count of pushes out: what is lost of it stays no longer
+	windowFills  = 2.0              // a window lasts as long as a burst takes to fill so often
+	callPart     = 0.25             // part of the soft limit that a check may take
+	blockedPart  = 0.25             // of an answer's time that a limit on pushes out stays reached once seen so
+	busyTime     = 20 * time.Second
+	busyPart     = 0.5
+	heedLess     = 0.75                   // a failed call makes the next this much less likely
+	heedMore     = 0.01                   // quick answers make it more likely, each in a row by so much more
+	heedRun      = 25                     // so many of them end a pause; at rest one call in nine fails
+	needWidth    = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
+	heedLeast    = 0.05                   // the least chance of a call: a lost counter is found again in a second
+	thinTasks    = 2.0                    // tasks a window under which a gateway learns too little of a customer
+	rampTimes    = 4.0                    // so many answer times' units, a thin customer's last, go by lot
+	furtherMost  = 2                      // further pushes of a task while no overload is seen: the users' way
+	samplesMany  = 64                     // samples kept of a lane or the fleet: enough for a ninth decile
+	samplesLoad  = 128                    // answers of warm servers kept to tell the load that they bear
+	illLeast     = 3                      // a failure counts so much, turned away 1: less in a row may be chance
+	struckPart   = 0.25                   // where more of the ready servers failed lately, one tells little
+	struckLeast  = 2.0                    // and more than so many: these may all be bad
+	asideLeast   = time.Second            // a server set aside is left alone so long at least
+	asideTimes   = 4.0                    // and for so many of our usual pushes to one: a fifth of its part
+	silentTimes  = 4                      // a push out this many ninth deciles with no answer since means silence
+	silentLeast  = 500 * time.Millisecond // and at least this, against one heavy task
+	retryLook    = 20 * time.Millisecond  // how often tasks that wait for a server look again
+	listAgain    = 500 * time.Millisecond // pause before asking for a list again
+	samplesRate  = 16                     // answers kept a server to tell its rate
+	calmLeast    = 0.1                    // part of the tasks that is pushed at any push times: to learn better
+	boundFree    = 2.0                    // pushes of all gateways at a server beyond its rate: to find a higher
+	boundLeast   = 4                      // answers of a server that tell its rate
+	boundPart    = 0.3                    // part of the tightest soft limit that a push may spend at a server
+	waitPart     = 0.25                   // part of the tightest soft limit that a task waits for a full server
+	hallPrice    = 0.25                   // a server in another hall counts as this much fuller: ties stay near
 )
 
 // last keeps the last few samples of a thing.
@@ -83,7 +87,7 @@
 // row is a lane as the module reads it.
 type row struct {
 	Lane
-	allowed time.Duration       // the longest that a client gave a first try
+	allowed []time.Duration     // by plan: what its clients give a first try
 	took    last[time.Duration] // answer times
 	sorted  []time.Duration     // the same in order
 }
@@ -94,7 +98,8 @@
 	host     Host
 	chance   *rand.Rand
 	now      time.Duration
-	waiting  []*part // parts with notes, in the order of their first note
+	stood    time.Duration // from the event before to the latest: we may have stood still so long
+	waiting  []*part       // parts with notes, in the order of their first note
 	lanes    []row
 	tightest time.Duration   // the shortest soft limit of all lanes
 	jobs     map[uint32]*job // tasks that are not over, or still have pushes out
@@ -113,7 +118,7 @@
 	g.tightest = site.Lanes[0].SoftLimit
 	for _, l := range site.Lanes {
 		g.tightest = min(g.tightest, l.SoftLimit)
-		g.lanes = append(g.lanes, row{Lane: l})
+		g.lanes = append(g.lanes, row{Lane: l, allowed: make([]time.Duration, len(site.Plans))})
 	}
 	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1, taken: 1}
 	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{},
@@ -155,9 +160,16 @@
 	g.host.Wake(uint64(id)*wakeKinds+kind, max(after, 0))
 }
 
+// reach moves the clock to an event's time.
+func (g *Gateway) reach(now time.Duration) {
+	if now > g.now {
+		g.stood, g.now = now-g.now, now
+	}
+}
+
 // tell drops an event's note at the door and lets the parts work.
 func (g *Gateway) tell(now time.Duration, to *part, n note) {
-	g.now = now
+	g.reach(now)
 	g.post(to, n)
 	g.run()
 }
@@ -175,19 +187,23 @@
 
 // Take takes a task; from here on it is owed one final answer.
 func (g *Gateway) Take(now time.Duration, t Task) {
-	g.now = now
+	g.reach(now)
 	row := &g.lanes[t.Lane]
 	j := &job{Task: t, soft: min(now+row.SoftLimit, t.Expires), row: row, book: g.desk.open(t)}
 	g.jobs[t.ID] = j
-	// A task given other time than first tries of its lane has used up some of its soft limit: a repeat has what
-	// its earlier tries left, a first one what our standstill left. What is late is rejected.
-	given := row.Patience
-	if !t.Repeat {
-		row.allowed = max(row.allowed, t.Expires-now)
-		given = row.allowed
-	}
-	if other := t.Expires - now - row.allowed; other.Abs() > g.site.AnswerSlack {
-		j.soft = min(t.Expires-given+row.SoftLimit, t.Expires)
+	// A task given less time than first tries of its lane and plan has used up some of its soft limit: a repeat has
+	// what its earlier tries left, a first one what our standstill left, and no more than that: clients that have
+	// less patience now are not late. What is late is rejected.
+	given, usual := t.Expires-now, &row.allowed[t.Plan]
+	if !t.Repeat && (given > *usual || *usual-given > g.stood+g.site.AnswerSlack) {
+		*usual = given
+	}
+	if *usual-given > g.site.AnswerSlack {
+		from := *usual
+		if t.Repeat {
+			from = row.Patience
+		}
+		j.soft = min(t.Expires-from+row.SoftLimit, t.Expires)
 	}
 	// A little before the client leaves: a tick may be late, and a later answer would be none.
 	g.wake(wakePatience, t.ID, t.Expires-now-2*g.site.Tick)
@@ -249,11 +265,12 @@
 	row    *row
 	book   *book
 	pushes []sent
-	asked  bool // waits at the quota desk
-	paid   bool // its units stand in the book
-	begun  bool // a streamed answer has started
-	waits  bool // waits, or has waited, for a server
-	over   bool // the final answer is given
+	asked  bool  // waits at the quota desk
+	paid   bool  // its units stand in the book
+	claim  int64 // the window in whose count its push stands, where the plan limits those; 0: in none
+	begun  bool  // a streamed answer has started
+	waits  bool  // waits, or has waited, for a server
+	over   bool  // the final answer is given
 }
 
 type sent struct {
@@ -315,6 +332,8 @@
 	pending  []charge      // from answers, for the next check
 	opened   int64         // the latest window that we opened
 	ceiling  float64       // units that this gateway's own share of the ceiling holds
+	busy     float64       // pushes of all gateways that its first tries here would keep out
+	blocked  time.Duration // until when the limit on pushes out is taken to be reached
 	filled   time.Duration
 }
 
@@ -350,9 +369,12 @@
 		never := look{window: -1, at: d.now, level: plan.Burst}
 		b = &book{customer: t.Customer, plan: plan, width: float64(min(max(t.Width, 1), d.site.Gateways)),
 			filled: d.born, left: plan.Burst, looks: [2]look{never, never}}
-		if plan.Rate > 0 {
-			length := time.Duration(windowFills * plan.Burst / plan.Rate * float64(time.Second))
-			b.length = min(max(length, windowLeast), keepMost/2)
+		if plan.Rate > 0 || plan.AtOnce > 0 {
+			b.length = windowClaims
+			if plan.Rate > 0 {
+				length := time.Duration(windowFills * plan.Burst / plan.Rate * float64(time.Second))
+				b.length = min(max(length, windowLeast), keepMost/2)
+			}
 			b.offset = time.Duration(name(t.Customer, 0) % uint64(b.length))
 		}
 		d.customers[t.Customer] = b
@@ -405,6 +427,7 @@
 	passed := (now - b.filled).Seconds()
 	b.filled = now
 	b.left = min(b.left+b.plan.Rate*passed, b.plan.Burst)
+	b.busy *= math.Exp(-passed / busyTime.Seconds())
 	b.ceiling = min(b.ceiling+b.plan.CeilingRate/b.width*passed, b.plan.CeilingBurst/b.width)
 }
 
@@ -422,10 +445,15 @@
 	return x ^ x>>31
 }
 
-// asked checks a task: the customer's pending charges are added to its count, and the answer decides.
+// asked checks a task: the customer's pending charges are added to its count, and the answer decides. While calls
+// are left out, repeats of thin customers are rejected unseen: clients that repeat at once would take all calls from
+// first tries, and each repeat would be one more chance of its task to pass. Harm: a task rejected by chance.
 func (d *desk) asked(n note) {
 	j, b := n.job, n.job.book
 	b.fill(d.now)
+	if !j.Repeat && !j.asked {
+		b.busy += b.width * float64(j.row.decile(5)) / float64(busyTime)
+	}
 	switch {
 	case j.over || j.paid:
 	case j.asked:
@@ -434,8 +462,12 @@
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: j.row.Patience})
 	case b.plan.Rate > 0 && b.left+b.assumed < j.Units && len(b.pending) == 0:
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
-	case d.site.HasCounter && b.plan.Rate > 0 &&
-		d.chance.Float64() < math.Pow(d.heed, max(b.left/b.plan.Burst, min(b.width/needWidth, 1))):
+	case j.Repeat && d.heed < 1 && b.thin(j.Units):
+		d.post(&d.course.part, note{what: d.course.finish, job: j, away: d.fleet.spell()})
+	case b.counts() && d.now < b.blocked:
+		d.decide(j, false)
+	case d.site.HasCounter && b.length > 0 &&
+		d.chance.Float64() < math.Pow(d.heed, b.need()):
 		j.asked = true
 		d.charge(b, j, 1)
 		d.wake(wakeCheck, j.ID, time.Duration(callPart*float64(j.row.SoftLimit)))
@@ -444,6 +476,20 @@
 	}
 }
 
+// counts tells that the customer's count is one of pushes out.
+func (b *book) counts() bool { return b.plan.Rate <= 0 && b.plan.AtOnce > 0 }
+
+// need is the power of the chance that a call is made: the lower, the more likely.
+func (b *book) need() float64 {
+	if b.counts() {
+		if b.busy < busyPart*float64(b.plan.AtOnce)/2 {
+			return 4
+		}
+		return 1
+	}
+	return max(b.left/b.plan.Burst, min(b.width/needWidth, 1))
+}
+
 // charge makes a call that brings the pending charges; j is the task that waits for it, if any.
 func (d *desk) charge(b *book, j *job, weight float64) {
 	c := call{job: j, book: b, window: b.window(d.now)}
@@ -456,6 +502,10 @@
 		}
 	}
 	b.pending = nil
+	if b.counts() {
+		j.claim = c.window
+		c.sum++
+	}
 	d.ring(c)
 }
 
@@ -488,13 +538,18 @@
 		d.taken += 1.0 / samplesRate
 	}
 	if !taken && c.job != nil {
+		c.job.claim = 0
 		c.book.pending = append(c.book.pending, c.charges...)
 	} else { // a charge that went alone has no next check: those taken stand for it
 		for _, p := range c.charges {
 			c.book.owed -= p.units
 		}
 	}
-	if read {
+	if read && c.book.counts() {
+		if c.job != nil && n.tally.Total-c.sum >= float64(c.book.plan.AtOnce) {
+			c.book.blocked = d.now + max(time.Duration(blockedPart*float64(c.job.row.decile(5))), d.site.Tick)
+		}
+	} else if read {
 		d.read(c, n.tally.Total)
 	}
 	if c.job != nil && c.job.asked {
@@ -536,7 +591,7 @@
 // one burst whatever came before. That guards against two bursts back to back at a window's edge, and against
 // rejecting a customer with room at its end. Its last units go by lot: the count lags, and a sharp edge lets
 // a whole answer time's tasks through at once. Without a total others are assumed to use as much as we, each.
-// Repeats of thin customers wait for a total: each would be one more chance of its task to pass unseen.
+// A limit on pushes out goes by the count of them where one came, else by what the customer's own tries here say.
 func (d *desk) decide(j *job, read bool) {
 	b := j.book
 	j.asked = false
@@ -547,12 +602,12 @@
 	usual, most := j.row.decile(5), float64(b.plan.AtOnce)
 	thin, mine := b.thin(j.Units), float64(b.out)
 	unseen := b.unseen(usual)
-	if most > 0 && (mine >= most/b.width || mine+unseen/j.Units > most-1) {
-		d.post(&d.course.part, note{what: d.course.finish, job: j, away: usual})
-		return
+	held := most > 0 && mine >= most/b.width
+	if b.counts() {
+		held = mine >= most || d.now < b.blocked || !read && d.chance.Float64()*b.busy > busyPart*most
 	}
-	if !read && thin && j.Repeat && d.heed < 1 && d.run > 0 { // a lost counter leaves the even share
-		d.post(&d.course.part, note{what: d.course.finish, job: j, away: d.fleet.spell()})
+	if held {
+		d.post(&d.course.part, note{what: d.course.finish, job: j, away: usual})
 		return
 	}
 	if b.plan.Rate > 0 {
@@ -599,6 +654,10 @@
 // do not. A push without an answer is charged what was told: it did count.
 func (d *desk) settled(n note) {
 	j, b := n.job, n.job.book
+	if j.claim != 0 {
+		d.ring(call{book: b, window: j.claim, sum: -1})
+		j.claim = 0
+	}
 	if !j.paid {
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -864,3 +864,87 @@
 		s.wantPushed(uint32(id), times)
 	}
 }
+
+// Clients of one plan that gave a try up early were taken for tasks that we had held while we stood still, and all
+// rejected as late.
+func TestClientsWithLessPatienceAreNotLate(t *testing.T) {
+	s := begin(t, site(), 4)
+	s.take(1, 0, 0, 1)
+	s.end(1, Answered)
+	hasty := func(id uint32, plan int) {
+		s.g.Take(s.now, Task{ID: id, Plan: plan, Customer: uint64(plan), Width: 2, Units: 1, Expires: s.now + 200*ms})
+		s.counter()
+	}
+	s.pass(10 * ms)
+	hasty(2, 0)
+	s.wantPushed(2, 1)
+	s.pass(10 * ms)
+	s.take(3, 0, 2, 1)
+	s.now += 1900 * ms // no event for longer than what the next task lacks: we may have stood still
+	hasty(4, 2)
+	s.wantPushed(4, 0)
+}
+
+// A customer with a limit on pushes out and no rate never reached the counter, and each gateway of its set let one
+// through.
+func TestALimitOnPushesOutIsCountedOverAllGateways(t *testing.T) {
+	s := begin(t, site(), 4)
+	s.take(1, 0, 4, 1)
+	s.wantPushed(1, 1)
+	s.others(4, 1)
+	s.take(2, 0, 4, 1)
+	s.wantPushed(2, 0)
+	if got := s.total(4); got != 2 {
+		t.Errorf("the count says %v pushes out, want ours and the other gateway's", got)
+	}
+	s.end(1, Answered)
+	if got := s.total(4); got != 1 {
+		t.Errorf("the count says %v pushes out after ours ended, want 1", got)
+	}
+	s.pass(20 * ms)
+	s.take(3, 0, 4, 1)
+	s.wantPushed(3, 1)
+}
+
+// What is lost of the count of pushes out goes with its window: a gateway that died took two places for good.
+func TestALostPushLeavesTheCountWithItsWindow(t *testing.T) {
+	s := begin(t, site(), 4)
+	s.take(1, 0, 4, 1)
+	s.end(1, Answered)
+	s.others(4, 2)
+	s.take(2, 0, 4, 1)
+	s.wantPushed(2, 0)
+	s.pass(windowClaims)
+	s.take(3, 0, 4, 1)
+	s.wantPushed(3, 1)
+}
+
+// A claim that the counter did not take is not given back: the count would fall below what is out.
+func TestAClaimThatWasNotTakenIsNotGivenBack(t *testing.T) {
+	s := begin(t, site(), 4)
+	s.down = true
+	s.take(1, 0, 4, 1)
+	s.g.Counted(s.now, Tally{Name: s.calls[0].name, Outcome: Full})
+	s.calls = nil
+	s.wantPushed(1, 1)
+	s.end(1, Answered)
+	if len(s.calls) != 0 {
+		t.Errorf("a claim not taken was given back: %v", s.calls)
+	}
+}
+
+// Clients that repeat at once took all calls of a crowded counter from first tries.
+func TestRepeatsTakeNoCallsWhileSomeAreLeftOut(t *testing.T) {
+	d := site()
+	d.Gateways = 40
+	s := begin(t, d, 4)
+	s.width, s.down = 40, true
+	s.take(1, 0, 1, 1)
+	s.lose()
+	s.g.Take(s.now, Task{ID: 2, Plan: 1, Customer: 1, Width: 40, Units: 1, Expires: s.now + 2*time.Second,
+		Repeat: true})
+	s.want("reject 2 away 125ms", 1)
+	if len(s.calls) != 0 {
+		t.Errorf("a repeat made %d calls", len(s.calls))
+	}
+}
