--- a/policy/policy.go
+++ b/policy/policy.go
@@ -90,6 +90,8 @@
 	allowed []time.Duration     // by plan: what its clients give a first try
 	took    last[time.Duration] // answer times
 	sorted  []time.Duration     // the same in order
+	pace    last[time.Duration] // answer times a unit
+	paces   []time.Duration     // the same in order
 }
 
 // Gateway is one instance.
@@ -692,6 +694,7 @@
 	took    last[spent]
 	kinds   map[int]last[time.Duration] // answer times by kind of server
 	load    last[answer]                // of warm servers
+	gains   float64
 }
 
 // spent is the part of its soft limit that a push took, and until when that tells of now: queues pass.
@@ -901,7 +904,7 @@
 		return
 	}
 	s, wait := f.find(j)
-	shed := len(j.pushes) == 0 && !j.waits && f.chance.Float64() >= f.calm()
+	shed := len(j.pushes) == 0 && !j.waits && f.chance.Float64() >= math.Pow(f.calm(), f.cheap(j))
 	switch {
 	case !shed && s != nil:
 		f.post(&s.part, note{what: s.carry, job: j})
@@ -913,6 +916,26 @@
 	}
 }
 
+// cheap is how much less a task gains for the work that it is than the latest tasks: the power of the chance that it
+// is pushed while the fleet is pressed.
+func (f *fleet) cheap(j *job) float64 {
+	gain := j.row.Gain * j.row.hope(j) * max(j.book.plan.Price, 0.01)
+	if f.gains == 0 {
+		f.gains = gain
+	}
+	f.gains += (gain - f.gains) / samplesMany
+	return f.gains / max(gain, 1e-9)
+}
+
+// hope is the gain of a lane
+func (r *row) hope(j *job) float64 {
+	n := len(r.paces)
+	if n < boundLeast {
+		return 1
+	}
+	return float64(time.Second) / float64(max(r.paces[n/2], 1))
+}
+
 // spell is how long a task waits for a server, and is told to stay away if it finds none or its pushes fail.
 func (f *fleet) spell() time.Duration { return time.Duration(waitPart * float64(f.tightest)) }
 
@@ -1023,6 +1046,9 @@
 	case Answered:
 		n.job.row.took.add(samplesMany, n.push.Took)
 		n.job.row.sorted = slices.Sorted(slices.Values(n.job.row.took.items))
+		units := max(cmp.Or(n.push.Billed, n.job.Units), 1)
+		n.job.row.pace.add(samplesMany, time.Duration(float64(n.push.Took)/units))
+		n.job.row.paces = slices.Sorted(slices.Values(n.job.row.pace.items))
 		f.took.add(samplesRate, spent{f.now - n.push.Took + 2*soft, float64(n.push.Took) / float64(soft)})
 		kind := f.kinds[s.Kind]
 		kind.add(samplesMany, n.push.Took)
