--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	keepMost     = 60 * time.Second // the longest that the counter keeps a name
-	chargeStale  = time.Minute      // a charge that waited longer is dropped, as the design says
-	windowLeast  = time.Second      // shorter windows would change within the time that an answer takes
-	windowClaims = 2 * time.Second  // windows of the count of pushes out: what is lost of it stays no longer
-	windowFills  = 2.0              // a window lasts as long as a burst takes to fill so often
-	callPart     = 0.25             // part of the soft limit that a check may take
-	blockedPart  = 0.25             // of an answer's time that a limit on pushes out stays reached once seen so
-	busyTime     = 20 * time.Second
-	busyPart     = 0.5
+	keepMost     = 60 * time.Second       // the longest that the counter keeps a name
+	chargeStale  = time.Minute            // a charge that waited longer is dropped, as the design says
+	windowLeast  = time.Second            // shorter windows would change within the time that an answer takes
+	windowClaims = 2 * time.Second        // windows of the count of pushes out: what is lost of it stays no longer
+	windowFills  = 2.0                    // a window lasts as long as a burst takes to fill so often
+	callPart     = 0.25                   // part of the soft limit that a check may take
+	blockedPart  = 0.25                   // part of an answer's time that a limit on pushes out, once reached, stays so
+	busyTime     = 20 * time.Second       // how far back own tries tell how much a customer asks: a few each
+	busyPart     = 0.2                    // part of a limit on pushes out that may be used on a guess
 	heedLess     = 0.75                   // a failed call makes the next this much less likely
 	heedMore     = 0.01                   // quick answers make it more likely, each in a row by so much more
 	heedRun      = 25                     // so many of them end a pause; at rest one call in nine fails
