The meter's word stands in where no total comes; gain for work beside the lanes' times

UsePct was decoded in internal/wire and dropped in internal/sim. It comes with answers now and its mean of eight words, squared, is the part that others are taken to use; the first word gives back what was assumed before it.

--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -130,7 +130,8 @@
 	case wire.EvResponse:
 		r := ev.Value.(wire.Response)
 		g.Ended(now, policy.Push{Task: r.ID, Number: int(r.Hop), Server: r.Server, Outcome: outcome(r.How),
-			Took: boot.Span(r.SpentMs), Done: r.NoMore, Billed: float64(r.Billed), Report: r.HealthInfo})
+			Took: boot.Span(r.SpentMs), Done: r.NoMore, Billed: float64(r.Billed),
+			Use: use(r.UsePct), Report: r.HealthInfo})
 	case wire.EvFirst:
 		f := ev.Value.(wire.First)
 		g.Begun(now, f.ID, int(f.Hop))
@@ -171,6 +172,14 @@
 	return policy.Errored // 5, and whatever else may have run
 }
 
+// use turns 1 + a customer's use in percent of its rate, or its limit, into 1 + the part; 0 stays not told.
+func use(pct uint16) float64 {
+	if pct == 0 {
+		return 0
+	}
+	return 1 + float64(pct-1)/100
+}
+
 func listKind(kind uint8) policy.ListKind {
 	switch kind {
 	case 0:
--- a/policy/host.go
+++ b/policy/host.go
@@ -150,6 +150,7 @@
 	Took    time.Duration
 	Done    bool    // the task has its final answer
 	Billed  float64 // true units; 0: not told
+	Use     float64 // 1 + the part of its rate that the customer used of late, over all gateways; 0: not told
 	Report  []float32
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,41 +15,43 @@
 )
 
 const (
-	keepMost     = 60 * time.Second       // the longest that the counter keeps a name
-	chargeStale  = time.Minute            // a charge that waited longer is dropped, as the design says
-	windowLeast  = time.Second            // shorter windows would change within the time that an answer takes
-	windowClaims = 2 * time.Second        // windows of the count of pushes out: what is lost of it stays no longer
-	windowFills  = 2.0                    // a window lasts as long as a burst takes to fill so often
-	callPart     = 0.25                   // part of the soft limit that a check may take
-	blockedPart  = 0.25                   // part of an answer's time that a limit on pushes out, once reached, stays so
-	busyTime     = 20 * time.Second       // how far back own tries tell how much a customer asks: a few each
-	busyPart     = 0.2                    // part of a limit on pushes out that may be used on a guess
-	heedLess     = 0.75                   // a failed call makes the next this much less likely
-	heedMore     = 0.01                   // quick answers make it more likely, each in a row by so much more
-	heedRun      = 25                     // so many of them end a pause; at rest one call in nine fails
-	needWidth    = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
-	heedLeast    = 0.05                   // the least chance of a call: a lost counter is found again in a second
-	thinTasks    = 2.0                    // tasks a window under which a gateway learns too little of a customer
-	rampTimes    = 4.0                    // so many answer times' units, a thin customer's last, go by lot
-	furtherMost  = 2                      // further pushes of a task while no overload is seen: the users' way
-	samplesMany  = 64                     // samples kept of a lane or the fleet: enough for a ninth decile
-	samplesLoad  = 128                    // answers of warm servers kept to tell the load that they bear
-	illLeast     = 3                      // a failure counts so much, turned away 1: less in a row may be chance
-	struckPart   = 0.25                   // where more of the ready servers failed lately, one tells little
-	struckLeast  = 2.0                    // and more than so many: these may all be bad
-	asideLeast   = time.Second            // a server set aside is left alone so long at least
-	asideTimes   = 4.0                    // and for so many of our usual pushes to one: a fifth of its part
-	silentTimes  = 4                      // a push out this many ninth deciles with no answer since means silence
-	silentLeast  = 500 * time.Millisecond // and at least this, against one heavy task
-	retryLook    = 20 * time.Millisecond  // how often tasks that wait for a server look again
-	listAgain    = 500 * time.Millisecond // pause before asking for a list again
-	samplesRate  = 16                     // answers kept a server to tell its rate
-	calmLeast    = 0.1                    // part of the tasks that is pushed at any push times: to learn better
-	boundFree    = 2.0                    // pushes of all gateways at a server beyond its rate: to find a higher
-	boundLeast   = 4                      // answers of a server that tell its rate
-	boundPart    = 0.3                    // part of the tightest soft limit that a push may spend at a server
-	waitPart     = 0.25                   // part of the tightest soft limit that a task waits for a full server
-	hallPrice    = 0.25                   // a server in another hall counts as this much fuller: ties stay near
+	keepMost    = 60 * time.Second       // the longest that the counter keeps a name
+	chargeStale = time.Minute            // a charge that waited longer is dropped, as the design says
+	windowLeast = time.Second            // shorter windows would change within the time that an answer takes
+	windowOut   = 2 * time.Second        // of a count of pushes out: what is lost of it stays no longer
+	windowFills = 2.0                    // a window lasts as long as a burst takes to fill so often
+	callPart    = 0.25                   // part of the soft limit that a check may take
+	blockedPart = 0.25                   // part of an answer's time that a limit reached stays so
+	busyTime    = 20 * time.Second       // how far back own tries tell what a customer asks
+	gainLeast   = 1e-3                   // of a task, where lane or plan gain nothing
+	useMost     = 8.0                    // words of a meter that count: each tells of a moment
+	busyPart    = 0.2                    // part of a limit on pushes out that may be used on a guess
+	heedLess    = 0.75                   // a failed call makes the next this much less likely
+	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more
+	heedRun     = 25                     // so many of them end a pause; at rest one call in nine fails
+	needWidth   = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
+	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
+	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
+	rampTimes   = 4.0                    // so many answer times' units, a thin customer's last, go by lot
+	furtherMost = 2                      // further pushes of a task while no overload is seen: the users' way
+	samplesMany = 64                     // samples kept of a lane or the fleet: enough for a ninth decile
+	samplesLoad = 128                    // answers of warm servers kept to tell the load that they bear
+	illLeast    = 3                      // a failure counts so much, turned away 1: less in a row may be chance
+	struckPart  = 0.25                   // where more of the ready servers failed lately, one tells little
+	struckLeast = 2.0                    // and more than so many: these may all be bad
+	asideLeast  = time.Second            // a server set aside is left alone so long at least
+	asideTimes  = 4.0                    // and for so many of our usual pushes to one: a fifth of its part
+	silentTimes = 4                      // a push out this many ninth deciles with no answer since means silence
+	silentLeast = 500 * time.Millisecond // and at least this, against one heavy task
+	retryLook   = 20 * time.Millisecond  // how often tasks that wait for a server look again
+	listAgain   = 500 * time.Millisecond // pause before asking for a list again
+	samplesRate = 16                     // answers kept a server to tell its rate
+	calmLeast   = 0.1                    // part of the tasks that is pushed at any push times: to learn better
+	boundFree   = 2.0                    // pushes of all gateways at a server beyond its rate: to find a higher
+	boundLeast  = 4                      // answers of a server that tell its rate
+	boundPart   = 0.3                    // part of the tightest soft limit that a push may spend at a server
+	waitPart    = 0.25                   // part of the tightest soft limit that a task waits for a full server
+	hallPrice   = 0.25                   // a server in another hall counts as this much fuller: ties stay near
 )
 
 // last keeps the last few samples of a thing.
@@ -90,7 +92,7 @@
 	allowed []time.Duration     // by plan: what its clients give a first try
 	took    last[time.Duration] // answer times
 	sorted  []time.Duration     // the same in order
-	pace    last[time.Duration] // answer times a unit
+	unit    last[time.Duration] // answer times a unit
 	paces   []time.Duration     // the same in order
 }
 
@@ -193,9 +195,9 @@
 	row := &g.lanes[t.Lane]
 	j := &job{Task: t, soft: min(now+row.SoftLimit, t.Expires), row: row, book: g.desk.open(t)}
 	g.jobs[t.ID] = j
-	// A task given less time than first tries of its lane and plan has used up some of its soft limit: a repeat has
-	// what its earlier tries left, a first one what our standstill left, and no more than that: clients that have
-	// less patience now are not late. What is late is rejected.
+	// A task given less time than first tries of its lane and plan has used up some of its soft limit: a repeat
+	// has what its earlier tries left, a first one what our standstill left, but what lacks beyond that is its
+	// client's own, who is not late. What is late is rejected.
 	given, usual := t.Expires-now, &row.allowed[t.Plan]
 	if !t.Repeat && (given > *usual || *usual-given > g.stood+g.site.AnswerSlack) {
 		*usual = given
@@ -334,6 +336,8 @@
 	pending  []charge      // from answers, for the next check
 	opened   int64         // the latest window that we opened
 	ceiling  float64       // units that this gateway's own share of the ceiling holds
+	told     float64       // how often its use was told, up to useMost
+	use      float64       // part of its rate that it used, by the latest of these
 	busy     float64       // pushes of all gateways that its first tries here would keep out
 	blocked  time.Duration // until when the limit on pushes out is taken to be reached
 	filled   time.Duration
@@ -372,7 +376,7 @@
 		b = &book{customer: t.Customer, plan: plan, width: float64(min(max(t.Width, 1), d.site.Gateways)),
 			filled: d.born, left: plan.Burst, looks: [2]look{never, never}}
 		if plan.Rate > 0 || plan.AtOnce > 0 {
-			b.length = windowClaims
+			b.length = windowOut
 			if plan.Rate > 0 {
 				length := time.Duration(windowFills * plan.Burst / plan.Rate * float64(time.Second))
 				b.length = min(max(length, windowLeast), keepMost/2)
@@ -447,9 +451,9 @@
 	return x ^ x>>31
 }
 
-// asked checks a task: the customer's pending charges are added to its count, and the answer decides. While calls
-// are left out, repeats of thin customers are rejected unseen: clients that repeat at once would take all calls from
-// first tries, and each repeat would be one more chance of its task to pass. Harm: a task rejected by chance.
+// asked checks a task: the customer's pending charges are added to its count, and the answer decides. While
+// calls are left out, repeats of thin customers are rejected unasked: they would take the calls from first tries,
+// and each would be one more chance of its task to pass unseen. Harm: a task rejected by chance.
 func (d *desk) asked(n note) {
 	j, b := n.job, n.job.book
 	b.fill(d.now)
@@ -481,6 +485,27 @@
 // counts tells that the customer's count is one of pushes out.
 func (b *book) counts() bool { return b.plan.Rate <= 0 && b.plan.AtOnce > 0 }
 
+// metered takes word of the part of its rate that the customer uses.
+func (b *book) metered(part float64) {
+	b.told = min(b.told+1, useMost)
+	b.use += (part - b.use) / b.told
+	less := 0.0
+	if b.told == 1 {
+		less = b.assumed * (1 - b.others())
+	}
+	b.left += less
+	b.assumed -= less
+}
+
+// others is the part of what we send on that each other gateway is taken to send on, where no total tells: all,
+// or the metered use squared, as a customer that uses half of its rate seldom empties its store.
+func (b *book) others() float64 {
+	if b.told == 0 {
+		return 1
+	}
+	return min(b.use*b.use, 1)
+}
+
 // need is the power of the chance that a call is made: the lower, the more likely.
 func (b *book) need() float64 {
 	if b.counts() {
@@ -593,7 +618,7 @@
 // one burst whatever came before. That guards against two bursts back to back at a window's edge, and against
 // rejecting a customer with room at its end. Its last units go by lot: the count lags, and a sharp edge lets
 // a whole answer time's tasks through at once. Without a total others are assumed to use as much as we, each.
-// A limit on pushes out goes by the count of them where one came, else by what the customer's own tries here say.
+// A limit on pushes out goes by the count of them, else by what the customer's own tries here say.
 func (d *desk) decide(j *job, read bool) {
 	b := j.book
 	j.asked = false
@@ -639,7 +664,7 @@
 	b.out++
 	b.owed += j.Units
 	b.left -= j.Units
-	if others := j.Units * (b.width - 1); !read {
+	if others := j.Units * (b.width - 1) * b.others(); !read {
 		b.left -= others
 		b.assumed += others
 	}
@@ -694,7 +719,7 @@
 	took    last[spent]
 	kinds   map[int]last[time.Duration] // answer times by kind of server
 	load    last[answer]                // of warm servers
-	gains   float64
+	gains   float64                     // of the latest tasks for their work
 }
 
 // spent is the part of its soft limit that a push took, and until when that tells of now: queues pass.
@@ -889,6 +914,14 @@
 // silence is how long a push may have no answer before it counts as lost.
 func (r *row) silence() time.Duration { return max(silentTimes*r.decile(9), silentLeast) }
 
+// pace is how long a unit takes; 0 before any answer.
+func (r *row) pace() time.Duration {
+	if len(r.paces) == 0 {
+		return 0
+	}
+	return max(r.paces[len(r.paces)/2], 1)
+}
+
 // decile is a decile of a lane's answer times; 0 before any came.
 func (r *row) decile(tenth int) time.Duration {
 	if len(r.sorted) == 0 {
@@ -916,24 +949,25 @@
 	}
 }
 
-// cheap is how much less a task gains for the work that it is than the latest tasks: the power of the chance that it
-// is pushed while the fleet is pressed.
+// cheap is how much less a task gains for its work than the latest tasks: the power of the chance that it is
+// pushed while the fleet is pressed. Work is the lane's answer time a unit beside the other lanes'. Harm: lanes
+// and plans that gain little are served least when there is too little for all.
 func (f *fleet) cheap(j *job) float64 {
-	gain := j.row.Gain * j.row.hope(j) * max(j.book.plan.Price, 0.01)
+	gain, own := max(j.row.Gain*j.book.plan.Price, gainLeast), j.row.pace()
+	all, known := time.Duration(0), 0
+	for i := range f.lanes {
+		if pace := f.lanes[i].pace(); pace > 0 {
+			all, known = all+pace, known+1
+		}
+	}
+	if own > 0 {
+		gain *= float64(all) / float64(known) / float64(own)
+	}
 	if f.gains == 0 {
 		f.gains = gain
 	}
 	f.gains += (gain - f.gains) / samplesMany
-	return f.gains / max(gain, 1e-9)
-}
-
-// hope is the gain of a lane
-func (r *row) hope(j *job) float64 {
-	n := len(r.paces)
-	if n < boundLeast {
-		return 1
-	}
-	return float64(time.Second) / float64(max(r.paces[n/2], 1))
+	return f.gains / gain
 }
 
 // spell is how long a task waits for a server, and is told to stay away if it finds none or its pushes fail.
@@ -1047,8 +1081,8 @@
 		n.job.row.took.add(samplesMany, n.push.Took)
 		n.job.row.sorted = slices.Sorted(slices.Values(n.job.row.took.items))
 		units := max(cmp.Or(n.push.Billed, n.job.Units), 1)
-		n.job.row.pace.add(samplesMany, time.Duration(float64(n.push.Took)/units))
-		n.job.row.paces = slices.Sorted(slices.Values(n.job.row.pace.items))
+		n.job.row.unit.add(samplesMany, time.Duration(float64(n.push.Took)/units))
+		n.job.row.paces = slices.Sorted(slices.Values(n.job.row.unit.items))
 		f.took.add(samplesRate, spent{f.now - n.push.Took + 2*soft, float64(n.push.Took) / float64(soft)})
 		kind := f.kinds[s.Kind]
 		kind.add(samplesMany, n.push.Took)
@@ -1077,6 +1111,9 @@
 	push := &j.pushes[p.Number]
 	push.ended, push.idle = true, p.Outcome == Full || p.Outcome == NoConnect || p.Outcome == Moot
 	j.over = j.over || p.Done
+	if p.Use > 0 {
+		j.book.metered(p.Use - 1)
+	}
 	if p.Outcome == Answered && j.paid {
 		c.post(&c.desk.part, note{what: c.desk.settled, job: j, units: cmp.Or(p.Billed, j.Units)})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -914,7 +914,7 @@
 	s.others(4, 2)
 	s.take(2, 0, 4, 1)
 	s.wantPushed(2, 0)
-	s.pass(windowClaims)
+	s.pass(windowOut)
 	s.take(3, 0, 4, 1)
 	s.wantPushed(3, 1)
 }
@@ -948,3 +948,20 @@
 		t.Errorf("a repeat made %d calls", len(s.calls))
 	}
 }
+
+// The meter's word was dropped: without a total a customer that used little was held to what one gateway of forty may
+// send on if all send as much.
+func TestAMeterStandsInWhereNoTotalComes(t *testing.T) {
+	for use, pushes := range map[float64]int{0: 0, 1.1: 1, 2.5: 0} {
+		d := site()
+		d.Gateways = 40
+		s := begin(t, d, 4)
+		s.width, s.down = 40, true
+		s.take(1, 0, 1, 1)
+		s.lose()
+		s.g.Ended(s.now, Push{Task: 1, Server: s.pushes[0].server, Outcome: Answered, Took: 20 * ms, Done: true, Use: use})
+		s.take(2, 0, 1, 1)
+		s.lose()
+		s.wantPushed(2, pushes)
+	}
+}
