Servers that turn a plan away, hang or are slow are told apart by lane and plan, units and pace

Pushes to hung servers end called off at the client's patience, which told nothing of the server (ended); silence went by the lane's ninth decile, which tasks of eight units make 1.6 s (answer times grow with the units); and each answer to another plan wiped out what a throttled one had been turned away (s.ill). Full no longer counts as slow where the server answers others between two. Gain for work is beside the mean of lanes and plans as they are, with no state.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,7 @@
 	listAgain   = 500 * time.Millisecond // pause before asking for a list again
 	samplesRate = 16                     // answers kept a server to tell its rate
 	calmLeast   = 0.1                    // part of the tasks that is pushed at any push times: to learn better
+	slowOver    = 8.0                    // answers of a server that tell how much longer it takes than others
 	boundFree   = 2.0                    // pushes of all gateways at a server beyond its rate: to find a higher
 	boundLeast  = 4                      // answers of a server that tell its rate
 	boundPart   = 0.3                    // part of the tightest soft limit that a push may spend at a server
@@ -125,8 +126,7 @@
 		g.lanes = append(g.lanes, row{Lane: l, allowed: make([]time.Duration, len(site.Plans))})
 	}
 	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1, taken: 1}
-	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{},
-		kinds: map[int]last[time.Duration]{}}
+	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{}}
 	g.course = course{Gateway: g}
 	return g, nil
 }
@@ -196,8 +196,8 @@
 	j := &job{Task: t, soft: min(now+row.SoftLimit, t.Expires), row: row, book: g.desk.open(t)}
 	g.jobs[t.ID] = j
 	// A task given less time than first tries of its lane and plan has used up some of its soft limit: a repeat
-	// has what its earlier tries left, a first one what our standstill left, but what lacks beyond that is its
-	// client's own, who is not late. What is late is rejected.
+	// has what its earlier tries left, a first one what our standstill left. What is late is rejected. What
+	// lacks beyond our standstill is the client's own: it is not late.
 	given, usual := t.Expires-now, &row.allowed[t.Plan]
 	if !t.Repeat && (given > *usual || *usual-given > g.stood+g.site.AnswerSlack) {
 		*usual = given
@@ -284,6 +284,9 @@
 	idle   bool // ended, and proven never to have run
 }
 
+// kind numbers the task's lane and plan.
+func (j *job) kind() int { return j.Lane*len(j.row.allowed) + j.Plan }
+
 func (j *job) sentAt() time.Duration { return j.pushes[len(j.pushes)-1].at }
 
 func (j *job) isOut() bool {
@@ -374,7 +377,7 @@
 		plan := &d.site.Plans[t.Plan]
 		never := look{window: -1, at: d.now, level: plan.Burst}
 		b = &book{customer: t.Customer, plan: plan, width: float64(min(max(t.Width, 1), d.site.Gateways)),
-			filled: d.born, left: plan.Burst, looks: [2]look{never, never}}
+			filled: d.born, left: plan.Burst, use: 1, looks: [2]look{never, never}}
 		if plan.Rate > 0 || plan.AtOnce > 0 {
 			b.length = windowOut
 			if plan.Rate > 0 {
@@ -452,8 +455,8 @@
 }
 
 // asked checks a task: the customer's pending charges are added to its count, and the answer decides. While
-// calls are left out, repeats of thin customers are rejected unasked: they would take the calls from first tries,
-// and each would be one more chance of its task to pass unseen. Harm: a task rejected by chance.
+// calls are left out, repeats of thin customers are rejected unasked: they would take calls from first tries,
+// and each be one more chance of its task to pass unseen. Harm: a task rejected by chance.
 func (d *desk) asked(n note) {
 	j, b := n.job, n.job.book
 	b.fill(d.now)
@@ -470,9 +473,7 @@
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
 	case j.Repeat && d.heed < 1 && b.thin(j.Units):
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: d.fleet.spell()})
-	case b.counts() && d.now < b.blocked:
-		d.decide(j, false)
-	case d.site.HasCounter && b.length > 0 &&
+	case d.site.HasCounter && b.length > 0 && d.now >= b.blocked &&
 		d.chance.Float64() < math.Pow(d.heed, b.need()):
 		j.asked = true
 		d.charge(b, j, 1)
@@ -489,29 +490,21 @@
 func (b *book) metered(part float64) {
 	b.told = min(b.told+1, useMost)
 	b.use += (part - b.use) / b.told
-	less := 0.0
 	if b.told == 1 {
-		less = b.assumed * (1 - b.others())
+		b.left += b.assumed * (1 - b.others())
+		b.assumed *= b.others()
 	}
-	b.left += less
-	b.assumed -= less
 }
 
-// others is the part of what we send on that each other gateway is taken to send on, where no total tells: all,
-// or the metered use squared, as a customer that uses half of its rate seldom empties its store.
+// others is the part of what we send on that each other gateway is taken to send on, where no total tells:
+// all, or the metered use squared, as a customer that uses half of its rate seldom empties its store.
 func (b *book) others() float64 {
-	if b.told == 0 {
-		return 1
-	}
 	return min(b.use*b.use, 1)
 }
 
 // need is the power of the chance that a call is made: the lower, the more likely.
 func (b *book) need() float64 {
 	if b.counts() {
-		if b.busy < busyPart*float64(b.plan.AtOnce)/2 {
-			return 4
-		}
 		return 1
 	}
 	return max(b.left/b.plan.Burst, min(b.width/needWidth, 1))
@@ -542,7 +535,7 @@
 	d.host.Count(id, min(2*c.book.length, keepMost), c.sum)
 }
 
-// counted takes a total. Charges of a call that timed out are held to have been added: a count too high rejects
+// counted takes a total. Charges of a call that timed out are held to be added: a count too high rejects
 // to its window's end, one too low is one of several guards. Calls are left out by lot as they go wrong.
 func (d *desk) counted(n note) {
 	queue := d.calls[n.tally.Name]
@@ -717,9 +710,7 @@
 	servers []*server // the same; the gone are forgotten once nothing is out there
 	up      []*server // ready, in the order in which they were first named
 	took    last[spent]
-	kinds   map[int]last[time.Duration] // answer times by kind of server
-	load    last[answer]                // of warm servers
-	gains   float64                     // of the latest tasks for their work
+	load    last[answer] // of warm servers
 }
 
 // spent is the part of its soft limit that a push took, and until when that tells of now: queues pass.
@@ -741,8 +732,10 @@
 	part
 	Listed
 	out     []*job
-	fates   []fate // by lane
-	ill     int    // failures since the latest answer
+	fates   []fate          // by lane
+	turned  []time.Duration // by lane and plan: when one was turned away, with none answered since
+	slow    float64         // how much longer than others it takes, as a part
+	ill     int             // failures since the latest answer
 	failed  time.Duration
 	answers last[time.Duration]
 	share   float64 // part of a push that we might send at the time grown, while it is cold
@@ -767,13 +760,15 @@
 	for _, l := range n.list {
 		s := f.places[l.Server]
 		if s == nil {
-			s = &server{Gateway: f.Gateway, fates: make([]fate, len(f.lanes))}
+			s = &server{Gateway: f.Gateway, fates: make([]fate, len(f.lanes)),
+				turned: make([]time.Duration, len(f.lanes)*len(f.site.Plans))}
 			f.places[l.Server] = s
 			f.servers = append(f.servers, s)
 		}
 		if s.Since != l.Since {
 			s.answers, s.ill, s.failed = last[time.Duration]{}, 0, 0 // a new life
 			clear(s.fates)
+			clear(s.turned)
 			s.share, s.grown = f.chance.Float64(), f.now
 		}
 		s.Listed = l
@@ -859,7 +854,7 @@
 	}
 	for _, s := range f.servers {
 		for _, j := range s.out {
-			if age := f.now - j.sentAt(); age < j.row.silence() {
+			if age := f.now - j.sentAt(); age < j.silence() {
 				parts = append(parts, float64(age)/float64(j.row.SoftLimit)) // what is silent is not slow
 			}
 		}
@@ -876,19 +871,20 @@
 // sick tells whether a server is to be set aside for a lane, whatever the trouble looks like: fast errors and
 // refused connects (which draw tasks, as few are out there), turning away, silence. It counts for its lane
 // and for those not tried there, as others may be served. Harm: a good server is left alone for a while.
-func (s *server) sick(lane int) bool {
-	told := s.fates[lane]
+func (s *server) sick(j *job) bool {
+	own, told := s.fates[j.Lane], s.fates[j.Lane]
 	for _, other := range s.fates {
-		if s.fates[lane] == (fate{}) && max(other.good, other.bad) > max(told.good, told.bad) {
+		if own == (fate{}) && max(other.good, other.bad) > max(told.good, told.bad) {
 			told = other
 		}
 	}
-	for _, j := range s.out {
-		if j.Lane == lane && j.sentAt() >= s.fates[lane].good && s.now-j.sentAt() > j.row.silence() {
+	for _, o := range s.out {
+		if o.Lane == j.Lane && o.sentAt() >= own.good && s.now-o.sentAt() > o.silence() {
 			return true
 		}
 	}
-	return told.bad > told.good && s.now < told.bad+s.fleet.while()
+	turned, while := s.turned[j.kind()], s.fleet.while()
+	return told.bad > told.good && s.now < told.bad+while || turned > 0 && s.now < turned+while
 }
 
 func (f *fleet) while() time.Duration {
@@ -911,8 +907,13 @@
 	return 2 * illLeast
 }
 
-// silence is how long a push may have no answer before it counts as lost.
-func (r *row) silence() time.Duration { return max(silentTimes*r.decile(9), silentLeast) }
+// silence is how long a push may have no answer before it counts as lost: the longer, the more units it has.
+func (j *job) silence() time.Duration {
+	if n := len(j.row.paces); n > 0 {
+		return max(time.Duration(silentTimes*max(j.Units, 1)*float64(j.row.paces[n*9/10])), silentLeast)
+	}
+	return silentLeast
+}
 
 // pace is how long a unit takes; 0 before any answer.
 func (r *row) pace() time.Duration {
@@ -949,25 +950,25 @@
 	}
 }
 
-// cheap is how much less a task gains for its work than the latest tasks: the power of the chance that it is
-// pushed while the fleet is pressed. Work is the lane's answer time a unit beside the other lanes'. Harm: lanes
-// and plans that gain little are served least when there is too little for all.
+// cheap is how much less a task gains for its work than all lanes and plans on the mean: the power of the
+// chance that it is pushed while the fleet is pressed. Work is the lane's answer time a unit. Harm: lanes and
+// plans that gain little are served least when there is too little for all.
 func (f *fleet) cheap(j *job) float64 {
-	gain, own := max(j.row.Gain*j.book.plan.Price, gainLeast), j.row.pace()
-	all, known := time.Duration(0), 0
-	for i := range f.lanes {
-		if pace := f.lanes[i].pace(); pace > 0 {
-			all, known = all+pace, known+1
+	own, sum, n := 0.0, 0.0, 0.0
+	for i, r := range f.lanes {
+		for k, p := range f.site.Plans {
+			if pace := r.pace(); pace > 0 {
+				gain := max(r.Gain*cmp.Or(p.Price, 1), gainLeast) / float64(pace)
+				if sum, n = sum+gain, n+1; i == j.Lane && k == j.Plan {
+					own = gain
+				}
+			}
 		}
 	}
-	if own > 0 {
-		gain *= float64(all) / float64(known) / float64(own)
-	}
-	if f.gains == 0 {
-		f.gains = gain
+	if own == 0 {
+		return 1
 	}
-	f.gains += (gain - f.gains) / samplesMany
-	return f.gains / gain
+	return sum / n / own
 }
 
 // spell is how long a task waits for a server, and is told to stay away if it finds none or its pushes fail.
@@ -987,7 +988,7 @@
 		if push, _ := j.may(f.now, s, &f.site); !push {
 			continue
 		}
-		sick := s.sick(j.Lane)
+		sick := s.sick(j)
 		sound = sound || !sick
 		if !s.ripe() || s.filled(strange) {
 			continue
@@ -1018,7 +1019,7 @@
 	return slices.MinFunc(two, func(a, b *server) int { return cmp.Compare(a.fullness(), b.fullness()) }), 0
 }
 
-// fullness is what the draw of two goes by: what we have out there, and how long servers of its kind take.
+// fullness is what the draw of two goes by: what we have out there for its size.
 func (s *server) fullness() float64 {
 	full := float64(len(s.out)) + 1
 	if s.Hall != s.site.MyHall {
@@ -1027,12 +1028,7 @@
 	if s.Power > 0 {
 		full /= s.Power
 	}
-	kind := s.fleet.kinds[s.Kind]
-	all := time.Duration(1)
-	for _, took := range kind.items {
-		all += took
-	}
-	return full * float64(all) / float64(len(kind.items)+1)
+	return full * (1 + s.slow)
 }
 
 func (s *server) carry(n note) {
@@ -1052,17 +1048,19 @@
 	worse := 0
 	switch p.Outcome {
 	case Answered:
-		s.ill, s.fates[j.Lane].good = 0, s.now
+		s.ill, s.fates[j.Lane].good, s.turned[j.kind()] = 0, s.now, 0
 		s.answers.add(samplesRate, s.now)
 	case Full:
-		worse = 1
-	case Errored, TimedOut, NoConnect, Reset:
-		worse, s.failed = illLeast, s.now
+		worse, s.turned[j.kind()] = 1, s.now
+	case Errored, TimedOut, NoConnect, Reset, Cancelled:
+		if p.Outcome != Cancelled || p.Took > j.silence() { // called off silent is as good as timed out
+			worse, s.failed = illLeast, s.now
+		}
 	}
 	if s.ill += worse; worse > 0 && s.ill >= s.fleet.proof() {
 		s.fates[j.Lane].bad = s.now
 	}
-	if sick := s.sick(j.Lane); sick != s.aside {
+	if sick := s.sick(j); sick != s.aside {
 		s.aside = sick
 		s.host.Log(map[bool]string{true: "a server is set aside: it fails or is silent",
 			false: "a server set aside is back"}[sick])
@@ -1076,17 +1074,19 @@
 	soft, s := n.job.row.SoftLimit, n.job.pushes[n.push.Number].server
 	switch n.push.Outcome {
 	case Full:
-		f.took.add(samplesRate, spent{f.now + soft, 1})
+		if s.ill > 1 { // no answer to anyone between two: no mere quarrel with a lane or a plan
+			f.took.add(samplesRate, spent{f.now + soft, 1})
+		}
 	case Answered:
 		n.job.row.took.add(samplesMany, n.push.Took)
 		n.job.row.sorted = slices.Sorted(slices.Values(n.job.row.took.items))
-		units := max(cmp.Or(n.push.Billed, n.job.Units), 1)
-		n.job.row.unit.add(samplesMany, time.Duration(float64(n.push.Took)/units))
+		each, pace := float64(n.push.Took)/max(cmp.Or(n.push.Billed, n.job.Units), 1), float64(n.job.row.pace())
+		if pace > 0 {
+			s.slow += (each/pace - 1 - s.slow) / slowOver
+		}
+		n.job.row.unit.add(samplesMany, time.Duration(each))
 		n.job.row.paces = slices.Sorted(slices.Values(n.job.row.unit.items))
 		f.took.add(samplesRate, spent{f.now - n.push.Took + 2*soft, float64(n.push.Took) / float64(soft)})
-		kind := f.kinds[s.Kind]
-		kind.add(samplesMany, n.push.Took)
-		f.kinds[s.Kind] = kind
 		if s.Stage == Ready && s.warmth(f.now) >= 1 {
 			f.load.add(samplesLoad, answer{at: f.now, warm: f.warm()})
 		}
