New settings are taken in the running program on SIGHUP, both ways, nothing lost or sent twice

policy/reshape.go: Deployment.After keeps lanes and plans at their numbers by name (what is gone stays, closed, for the tasks in hand), Gateway.Reshape takes settings in place under the gate's lock; a book whose quota changed begins its windows anew, and a total of an earlier one decides nothing (call.era). internal/boot checks ranges, names told twice, the meter's time, and names what takes a restart; the front reads tasks by one shape at a time; a counter may come or go. The meter (used= in answers) reaches the module on sockets too; off where MeterMs is 0, the default.

--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -393,6 +393,11 @@
 	w := begin(t, 1024, hello)
 	c, patient := w.dial(), w.dial()
 	_ = w.cmd.Process.Signal(syscall.SIGSTOP)
+	// The signal takes its time: sent before all threads stand still, the task was sometimes read at once.
+	standin.Eventually(t, "a standstill", func() bool {
+		stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
+		return strings.Contains(string(stat), ") T ")
+	})
 	c.send(look("c=look,t=wide,d=100"))
 	patient.send(look("c=look,t=wide,d=9000"))
 	time.Sleep(300 * time.Millisecond)
--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -112,3 +112,56 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// A figure out of range was taken as it was, and two lanes of one name were told apart by nobody.
+func TestFiguresOutOfRangeAreRefusedWithTheirKeyAndWhatIsAllowed(t *testing.T) {
+	for old, c := range map[string]struct{ bad, want string }{
+		`"Balancers":2`:         {`"Balancers":0`, "Balancers must be from 1 to"},
+		`"Me":1`:                {`"Me":2`, "Me must be from 0 to 1, not 2"},
+		`"TryLimit":6`:          {`"TryLimit":0`, "PolicyLimits.TryLimit must be from 1 to"},
+		`"ColdFrom":0.15`:       {`"ColdFrom":1.5`, "Rules.ColdFrom must be from 0 to 1, not 1.5"},
+		`"CountLimitMs":30.5`:   {`"CountLimitMs":30,"MeterMs":-1`, "FamilyInfo.MeterMs must be from 0 to"},
+		`"AimMs":600`:           {`"AimMs":0`, "RequestClasses.0.AimMs must be from 0.001 to"},
+		`"UnitsPerS":2.2`:       {`"UnitsPerS":-2`, "TiersOfService.0.UnitsPerS must be from 0 to"},
+		`"PeakUnits":12`:        {`"Concurrency":-1`, "TiersOfService.0.Concurrency must be from 0 to"},
+		`"Name":"hold"`:         {`"Name":"look"`, `RequestClasses.1.Name must be another than that of RequestClasses.0: "look"`},
+		`"Deep":[1,[2]]`:        {`"Deep":[1,[2]]`, ""},
+		`"HasCounter":true`:     {`"HasCounter":true,"MeterMs":1000`, ""},
+		`"IdleCloseMs":30000`:   {`"IdleCloseMs":30000,"SecondCopies":true`, ""},
+		`"DrainGraceMs":1000`:   {`"DrainGraceMs":500`, ""},
+		`"WarmAfterMs":16000`:   {`"WarmAfterMs":18000`, ""},
+		`"FallMultiple":2`:      {`"FallMultiple":2.5`, ""},
+		`"TipAfterMs":1500`:     {`"TipAfterMs":2000`, ""},
+		`"Effect":"read_like"`:  {`"Effect":"read_like","Worth":3`, ""},
+		`"DeadlineMs":1500`:     {`"DeadlineMs":3000`, ""},
+		`"StreamsPerConn":100`:  {`"StreamsPerConn":100,"RetryAfter":false`, ""},
+		`"ConnectTimeoutMs":25`: {`"ConnectTimeoutMs":25`, ""},
+	} {
+		h, err := parse([]byte(strings.Replace(told, old, c.bad, 1)))
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%s: refused: %v", c.bad, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("%s: %v, want %q", c.bad, err, c.want)
+		case strings.Contains(c.bad, `"MeterMs":1000`) && h.Deployment.Meter != time.Second:
+			t.Errorf("the meter's time is %v", h.Deployment.Meter)
+		}
+	}
+}
+
+func TestWhatOnlyARestartChangesIsKeptAndNamed(t *testing.T) {
+	old, err := parse([]byte(told))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(strings.Replace(told, `"127.0.0.1:1"`, `"127.0.0.1:9"`, 1), `"Models":["m"]`, `"Models":["m","n"]`, 1)
+	h, err := parse([]byte(strings.Replace(text, `"UnitsPerS":2.2`, `"UnitsPerS":3`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := h.Keep(old)
+	if !reflect.DeepEqual(keys, []string{"listen", "settings.Models"}) || h.Listen != old.Listen || len(h.Kinds) != 1 ||
+		h.Deployment.Plans[0].Rate != 3 {
+		t.Errorf("kept %v, and have %+v", keys, h)
+	}
+}
--- a/internal/boot/handed.go
+++ b/internal/boot/handed.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -46,6 +47,31 @@
 	return h, nil
 }
 
+// Keep takes from an earlier configuration what only a restart can change, and gives the keys of what differed.
+func (h *Handed) Keep(old *Handed) (keys []string) {
+	keep := func(key string, same bool, take func()) {
+		if !same {
+			keys = append(keys, key)
+			take()
+		}
+	}
+	d, was := &h.Deployment, &old.Deployment
+	keep("name", h.Name == old.Name, func() { h.Name = old.Name })
+	keep("listen", h.Listen == old.Listen, func() { h.Listen = old.Listen })
+	keep("seed", h.Seed == old.Seed, func() { h.Seed = old.Seed })
+	keep("limits", h.Cores == old.Cores && h.MemoryMB == old.MemoryMB && h.Sockets == old.Sockets, func() {
+		h.Cores, h.MemoryMB, h.Sockets = old.Cores, old.MemoryMB, old.Sockets
+	})
+	keep("settings.Dcs", slices.Equal(h.Halls, old.Halls), func() {
+		h.Halls, d.Halls, d.MyHall = old.Halls, was.Halls, was.MyHall
+	})
+	keep("settings.Models", slices.Equal(h.Kinds, old.Kinds), func() { h.Kinds = old.Kinds })
+	keep("settings.Report.Fields", slices.Equal(d.Reports, was.Reports), func() { d.Reports = was.Reports })
+	keep("settings.PolicyLimits.ConnectTimeoutMs", h.ConnectWithin == old.ConnectWithin, func() { h.ConnectWithin = old.ConnectWithin })
+	keep("settings.PolicyLimits.IdleCloseMs", h.IdleLimit == old.IdleLimit, func() { h.IdleLimit = old.IdleLimit })
+	return keys
+}
+
 func parse(text []byte) (*Handed, error) {
 	var file struct {
 		Name, Listen, Discovery, Counter, Seed string
--- a/internal/boot/pairs.go
+++ b/internal/boot/pairs.go
@@ -65,6 +65,24 @@
 	return v
 }
 
+// Within says that a figure, where it is told, must lie between two, both allowed.
+func (p *Pairs) Within(path string, least, most float64) {
+	if v := p.Number(path); p.Text(path) != "" && (v < least || v > most) {
+		p.fail(path, fmt.Sprintf("must be from %g to %g, not %g", least, most, v))
+	}
+}
+
+// once says that names under a path must not be told twice; names left out are no names.
+func (p *Pairs) once(path string, n int, name func(int) string) {
+	for i := range n {
+		for k := range i {
+			if name(i) != "" && name(i) == name(k) {
+				p.fail(fmt.Sprintf("%s.%d.Name", path, i), fmt.Sprintf("must be another than that of %s.%d: %q", path, k, name(i)))
+			}
+		}
+	}
+}
+
 // Int gives the whole number at a path, 0 where there is none.
 func (p *Pairs) Int(path string) int { return int(p.Number(path)) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,6 +21,7 @@
 	"harrierhoist/internal/front"
 	"harrierhoist/internal/gate"
 	"harrierhoist/internal/roster"
+	"harrierhoist/policy"
 )
 
 const (
@@ -48,12 +50,12 @@
 	each := max((told.Sockets-socketsApart)/2, 1) // half for clients, half for servers
 	site := &told.Deployment
 	servers := fleet.New(told.ConnectWithin, told.IdleLimit, site.Reports, each)
-	outside := gate.Outside{Kept: servers.Kept(), Probe: func(s gate.Server, heard func(gate.Result)) { go servers.Probe(s, heard) }}
-	var count *counter.Counter
-	if site.HasCounter {
-		count = counter.New(told.Counter, told.ConnectWithin, log)
-		outside.Count = count.Add
-	}
+	in := &inForce{path: path, told: told, log: log}
+	outside := gate.Outside{Kept: servers.Kept(), Probe: func(s gate.Server, heard func(gate.Result)) { go servers.Probe(s, heard) },
+		Count: func(name uint64, units float64, keep time.Duration, heard func(float64, policy.Outcome)) {
+			in.count.Load().Add(name, units, keep, heard) // settings with a counter come into force once there is one
+		}}
+	in.moveCounter(told)
 	g, err := gate.New(*site, told.Seed, outside, log)
 	if err != nil {
 		return err
@@ -63,6 +65,7 @@
 		return err
 	}
 	clients := front.New(site, g, servers, each, log)
+	in.gate, in.list, in.clients = g, list, clients
 	listener, err := net.Listen("tcp", told.Listen)
 	if err != nil {
 		return err
@@ -82,7 +85,7 @@
 
 	go func() {
 		for range hup {
-			reload(path, count, list, log)
+			in.reload()
 		}
 	}()
 
@@ -102,19 +105,64 @@
 	return nil
 }
 
-// reload reads the configuration again and moves to the addresses that it names. All else in it takes a restart.
-// One that cannot be read leaves the old one in force.
-func reload(path string, count *counter.Counter, list *roster.Roster, log *zap.Logger) {
-	told, err := boot.Read(path)
-	if err != nil {
-		log.Error("the new configuration is not taken", zap.Error(err))
+// inForce is what a new configuration changes in the running program.
+type inForce struct {
+	path    string
+	told    *boot.Handed
+	count   atomic.Pointer[counter.Counter] // none while no settings had one
+	gate    *gate.Gate
+	list    *roster.Roster
+	clients *front.Front
+	log     *zap.Logger
+}
+
+// moveCounter has calls go to the counter that is named, if any is.
+func (in *inForce) moveCounter(told *boot.Handed) {
+	if told.Counter == "" {
 		return
 	}
-	list.Move(told.Discovery)
-	if count != nil && told.Counter != "" {
+	if count := in.count.Load(); count != nil {
 		count.Move(told.Counter)
+	} else {
+		in.count.Store(counter.New(told.Counter, told.ConnectWithin, in.log))
+	}
+}
+
+// reload reads the configuration again and takes it in place: addresses, and all settings but those that only a
+// restart can change, which are named. One that is not good leaves the old one in force.
+func (in *inForce) reload() {
+	told, err := boot.Read(in.path)
+	if err != nil {
+		in.log.Error("the new configuration is not taken", zap.Error(err))
+		return
+	}
+	if fixed := told.Keep(in.told); len(fixed) > 0 {
+		in.log.Warn("left as it was: this takes a restart", zap.Strings("keys", fixed))
+	}
+	in.moveCounter(told)
+	site, err := in.gate.Reshape(told.Deployment)
+	if err != nil {
+		in.log.Error("the new configuration is not taken", zap.Error(err))
+		return
+	}
+	in.clients.Reshape(&site)
+	in.list.Move(told.Discovery)
+	in.told = told
+	open := func(closed bool, name string, names []string) []string {
+		if closed {
+			return names
+		}
+		return append(names, name)
+	}
+	var lanes, plans []string
+	for _, l := range site.Lanes {
+		lanes = open(l.Closed, l.Name, lanes)
+	}
+	for _, p := range site.Plans {
+		plans = open(p.Closed, p.Name, plans)
 	}
-	log.Info("a new configuration", zap.String("discovery", told.Discovery), zap.String("counter", told.Counter))
+	in.log.Info("a new configuration", zap.String("discovery", told.Discovery), zap.String("counter", told.Counter),
+		zap.Int("gateways", site.Gateways), zap.Strings("lanes", lanes), zap.Strings("plans", plans))
 }
 
 // limits keeps the runtime within what is handed in.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,8 @@
 	// So long a connection rests after an answer if others can be had: what a server sends right behind it, which
 	// would be taken for the next answer, is here by then, and the connection is not quiet.
 	restLeast = 2 * time.Millisecond
+	// percent is the unit in which servers tell a customer's use of its rate.
+	percent = 100
 )
 
 // Fleet owns the connections to servers.
@@ -207,6 +209,9 @@
 	if cost, told := figures["cost"]; told {
 		out.Billed = cost
 	}
+	if used, told := figures["used"]; told {
+		out.Use = 1 + used/percent
+	}
 	for _, name := range f.reports {
 		if v, told := figures[name]; told {
 			report = append(report, float32(v))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -259,3 +259,15 @@
 		t.Errorf("%d of 12 pushes were lost", lost)
 	}
 }
+
+// The use of a customer's rate that servers tell was read and dropped.
+func TestUseOfTheRateIsPassedOn(t *testing.T) {
+	f := &Fleet{}
+	for note, want := range map[string]float64{"used=37,cost=4": 1.37, "used=0": 1, "cost=4": 0, "used=x": 0, "used=-3": 0} {
+		var out gate.Result
+		f.read(&out, note)
+		if out.Use < want-1e-9 || out.Use > want+1e-9 {
+			t.Errorf("%s stands for %v, want %v", note, out.Use, want)
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,15 +43,12 @@
 
 // Front owns the connections of clients.
 type Front struct {
-	gate     *gate.Gate
-	fleet    *fleet.Fleet
-	log      *zap.Logger
-	lanes    map[string]lane
-	plans    map[string]int
-	gateways int
-	units    float64 // the most of a task; 0: not told
-	ready    atomic.Bool
-	work     chan work // to carriers that are free
+	gate  *gate.Gate
+	fleet *fleet.Fleet
+	log   *zap.Logger
+	shape atomic.Pointer[shape]
+	ready atomic.Bool
+	work  chan work // to carriers that are free
 
 	places  chan struct{} // one a connection; one more may have come and wait
 	mu      sync.Mutex
@@ -62,6 +59,14 @@
 	gone    sync.WaitGroup // clients
 }
 
+// shape is what tasks are read by. Another takes its place whole: a task is read by one of them.
+type shape struct {
+	lanes    map[string]lane
+	plans    map[string]int
+	gateways int
+	units    float64 // the most of a task; 0: not told
+}
+
 type lane struct {
 	number int
 	policy.Lane
@@ -69,17 +74,28 @@
 
 // New makes a front that holds at most so many connections.
 func New(site *policy.Deployment, g *gate.Gate, f *fleet.Fleet, most int, log *zap.Logger) *Front {
-	fr := &Front{gate: g, fleet: f, log: log, lanes: map[string]lane{}, plans: map[string]int{},
-		gateways: site.Gateways, units: site.MostUnits, ids: map[string]struct{}{},
+	fr := &Front{gate: g, fleet: f, log: log, ids: map[string]struct{}{},
 		places: make(chan struct{}, max(most, 1)), clients: map[*client]struct{}{},
 		served: make(chan struct{}), work: make(chan work)}
+	fr.Reshape(site)
+	return fr
+}
+
+// Reshape has tasks read by other settings from here on, those that the gate gave as in force. Lanes and plans that
+// are closed are not known to clients any more.
+func (f *Front) Reshape(site *policy.Deployment) {
+	s := &shape{lanes: map[string]lane{}, plans: map[string]int{}, gateways: site.Gateways, units: site.MostUnits}
 	for i, l := range site.Lanes {
-		fr.lanes[l.Name] = lane{i, l}
+		if !l.Closed {
+			s.lanes[l.Name] = lane{i, l}
+		}
 	}
 	for i, p := range site.Plans {
-		fr.plans[p.Name] = i
+		if !p.Closed {
+			s.plans[p.Name] = i
+		}
 	}
-	return fr
+	f.shape.Store(s)
 }
 
 // Ready lets PING be answered well from here on.
@@ -455,7 +471,7 @@
 		return t, nil, "-ERR no customer"
 	}
 	e := &fleet.Parcel{Verb: verb, Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
-	if line := c.front.terms(&t, e, cmd.Words[3], query); line != "" {
+	if line := c.front.shape.Load().terms(&t, e, cmd.Words[3], query); line != "" {
 		return t, nil, line
 	}
 	// The patience counts from the sending. What waited in the system, for a place or while we stood still, is
@@ -471,7 +487,7 @@
 
 // terms reads the list of names and values, each name once; unknown names are passed on unread. What is out of
 // range is refused here: the module takes what it is handed.
-func (f *Front) terms(t *gate.Task, e *fleet.Parcel, list string, query bool) string {
+func (f *shape) terms(t *gate.Task, e *fleet.Parcel, list string, query bool) string {
 	t.Plan, t.Units, t.Width = -1, 1, 1
 	var l *lane
 	key := false
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -51,6 +51,7 @@
 type Result struct {
 	Outcome policy.Outcome
 	Billed  float64 // true units; 0: not told
+	Use     float64 // 1 + the part of its rate that the customer used of late; 0: not told
 	Report  []float32
 }
 
@@ -121,6 +122,21 @@
 	return g, err
 }
 
+// Reshape takes new settings in the running gateway, under the lock, and gives them as they are in force: lanes and
+// plans keep the numbers that they had. What is in hand goes on. An error means that nothing has changed.
+func (g *Gate) Reshape(site policy.Deployment) (policy.Deployment, error) {
+	now := g.enter()
+	defer g.leave()
+	site, err := g.module.Reshape(now, site)
+	if err != nil {
+		return site, err
+	}
+	g.pool.Resize(site.Me, site.Gateways)
+	g.report = len(site.Reports)
+	g.hand(now, policy.ListWhole)
+	return site, nil
+}
+
 // enter takes the lock and reads the clock.
 func (g *Gate) enter() time.Duration {
 	g.mu.Lock()
@@ -279,7 +295,7 @@
 		e.end()
 	}
 	e.g.module.Ended(now, policy.Push{Task: e.id, Number: e.pushes - 1, Server: e.server, Outcome: r.Outcome,
-		Took: now - e.at, Done: e.over, Billed: r.Billed, Report: e.g.fields(r.Report)})
+		Took: now - e.at, Done: e.over, Billed: r.Billed, Use: r.Use, Report: e.g.fields(r.Report)})
 }
 
 // Gone tells that the client has gone.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,6 +73,9 @@
 	return &Pool{kept: kept, me: me, gateways: max(gateways, 1)}
 }
 
+// Resize makes it the part of another gateway, or of one of another number; it is laid out so with the next list.
+func (p *Pool) Resize(me, gateways int) { p.me, p.gateways = me, max(gateways, 1) }
+
 // Pushed counts a push.
 func (p *Pool) Pushed(now time.Duration) {
 	p.fade(now)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -131,3 +131,12 @@
 		t.Errorf("no text of the panic in %q", out)
 	}
 }
+
+// The meter's word came over the wire and went no further.
+func TestUseIsTheMetersWord(t *testing.T) {
+	for pct, want := range map[uint16]float64{0: 0, 1: 1, 38: 1.37, 251: 3.5} {
+		if got := use(pct); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%d stands for %v, want %v", pct, got, want)
+		}
+	}
+}
--- a/policy/host.go
+++ b/policy/host.go
@@ -72,6 +72,7 @@
 	Group     Group
 	Window    time.Duration // how long the group remembers a receipted task
 	Stream    bool
+	Closed    bool // takes no new task: it stands for those in hand (After)
 }
 
 // Plan is what a customer has bought; it holds for each customer, over all gateways together.
@@ -86,6 +87,7 @@
 	Price        float64
 	OverGain     float64
 	OverCost     float64
+	Closed       bool // takes no new task: it stands for those in hand (After)
 }
 
 // Deployment is what a gateway is handed at its start.
@@ -101,6 +103,7 @@
 	CountLimit           time.Duration // a call to the counter ends after this
 	Settles              bool          // answers tell the true units
 	MostUnits            float64
+	Meter                time.Duration // how long a time of use answers tell of; 0: they tell none
 	Peers, Probes        bool
 	Cancelling           bool
 	RetryAfter           bool
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"math"
 	"math/rand"
 	"slices"
@@ -116,15 +115,11 @@
 
 // New makes a gateway with no memory of an earlier life. It asks nothing of the host yet.
 func New(site Deployment, seed int64, host Host) (*Gateway, error) {
-	if len(site.Lanes) == 0 || len(site.Plans) == 0 || site.Gateways < 1 {
-		return nil, errors.New("a gateway needs at least one lane, one plan and its place among the gateways")
-	}
-	g := &Gateway{site: site, host: host, chance: rand.New(rand.NewSource(seed)), jobs: map[uint32]*job{}}
-	g.tightest = site.Lanes[0].SoftLimit
-	for _, l := range site.Lanes {
-		g.tightest = min(g.tightest, l.SoftLimit)
-		g.lanes = append(g.lanes, row{Lane: l, allowed: make([]time.Duration, len(site.Plans))})
+	if err := site.fit(); err != nil {
+		return nil, err
 	}
+	g := &Gateway{host: host, chance: rand.New(rand.NewSource(seed)), jobs: map[uint32]*job{}}
+	g.shape(site)
 	g.desk = desk{Gateway: g, customers: map[uint64]*book{}, calls: map[uint64][]call{}, heed: 1, taken: 1}
 	g.fleet = fleet{Gateway: g, sharers: float64(site.Gateways), places: map[uint32]*server{}}
 	g.course = course{Gateway: g}
@@ -284,8 +279,8 @@
 	idle   bool // ended, and proven never to have run
 }
 
-// kind numbers the task's lane and plan.
-func (j *job) kind() int { return j.Lane*len(j.row.allowed) + j.Plan }
+// kind numbers a task's lane and plan.
+func (g *Gateway) kind(j *job) int { return j.Lane*len(g.site.Plans) + j.Plan }
 
 func (j *job) sentAt() time.Duration { return j.pushes[len(j.pushes)-1].at }
 
@@ -338,6 +333,7 @@
 	assumed  float64       // units that others are only assumed to have used since the latest look
 	pending  []charge      // from answers, for the next check
 	opened   int64         // the latest window that we opened
+	era      int           // counts the changes of its quota: a total of an earlier one says nothing
 	ceiling  float64       // units that this gateway's own share of the ceiling holds
 	told     float64       // how often its use was told, up to useMost
 	use      float64       // part of its rate that it used, by the latest of these
@@ -365,6 +361,7 @@
 	window  int64
 	charges []charge
 	sum     float64
+	era     int // of the book then
 }
 
 // open finds a customer's book. All gateways work out the same windows from the common clock, those of the
@@ -375,23 +372,28 @@
 	b := d.customers[t.Customer]
 	if b == nil {
 		plan := &d.site.Plans[t.Plan]
-		never := look{window: -1, at: d.now, level: plan.Burst}
 		b = &book{customer: t.Customer, plan: plan, width: float64(min(max(t.Width, 1), d.site.Gateways)),
-			filled: d.born, left: plan.Burst, use: 1, looks: [2]look{never, never}}
-		if plan.Rate > 0 || plan.AtOnce > 0 {
-			b.length = windowOut
-			if plan.Rate > 0 {
-				length := time.Duration(windowFills * plan.Burst / plan.Rate * float64(time.Second))
-				b.length = min(max(length, windowLeast), keepMost/2)
-			}
-			b.offset = time.Duration(name(t.Customer, 0) % uint64(b.length))
-		}
+			filled: d.born, left: plan.Burst, use: 1}
+		b.windows(d.now)
 		d.customers[t.Customer] = b
 		d.books = append(d.books, b)
 	}
 	return b
 }
 
+// windows begins the customer's windows, of which none was seen yet.
+func (b *book) windows(now time.Duration) {
+	never := look{window: -1, at: now, level: b.plan.Burst}
+	b.looks, b.opened, b.blocked, b.length = [2]look{never, never}, 0, 0, 0
+	if b.plan.Rate > 0 {
+		length := time.Duration(windowFills * b.plan.Burst / b.plan.Rate * float64(time.Second))
+		b.length = min(max(length, windowLeast), keepMost/2)
+	} else if b.plan.AtOnce > 0 {
+		b.length = windowOut
+	}
+	b.offset = time.Duration(name(b.customer, 0) % uint64(max(b.length, 1)))
+}
+
 // forget drops books not used for as long as a count or a charge lasts, two looked at with each task. It
 // guards against customers who come once. Harm: a store that takes longer to fill is taken for full.
 func (d *desk) forget() {
@@ -474,7 +476,7 @@
 	case j.Repeat && d.heed < 1 && b.thin(j.Units):
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: d.fleet.spell()})
 	case d.site.HasCounter && b.length > 0 && d.now >= b.blocked &&
-		d.chance.Float64() < math.Pow(d.heed, b.need()):
+		d.chance.Float64() < math.Pow(d.heed, max(b.left/max(b.plan.Burst, 1), min(b.width/needWidth, 1))):
 		j.asked = true
 		d.charge(b, j, 1)
 		d.wake(wakeCheck, j.ID, time.Duration(callPart*float64(j.row.SoftLimit)))
@@ -502,14 +504,6 @@
 	return min(b.use*b.use, 1)
 }
 
-// need is the power of the chance that a call is made: the lower, the more likely.
-func (b *book) need() float64 {
-	if b.counts() {
-		return 1
-	}
-	return max(b.left/b.plan.Burst, min(b.width/needWidth, 1))
-}
-
 // charge makes a call that brings the pending charges; j is the task that waits for it, if any.
 func (d *desk) charge(b *book, j *job, weight float64) {
 	c := call{job: j, book: b, window: b.window(d.now)}
@@ -531,8 +525,9 @@
 
 func (d *desk) ring(c call) {
 	id := name(c.book.customer, c.window)
+	c.era = c.book.era
 	d.calls[id] = append(d.calls[id], c)
-	d.host.Count(id, min(2*c.book.length, keepMost), c.sum)
+	d.host.Count(id, min(max(2*c.book.length, windowLeast), keepMost), c.sum)
 }
 
 // counted takes a total. Charges of a call that timed out are held to be added: a count too high rejects
@@ -546,7 +541,7 @@
 	if d.calls[n.tally.Name] = queue[1:]; len(queue) == 1 {
 		delete(d.calls, n.tally.Name)
 	}
-	read := n.tally.Outcome == Answered
+	read := n.tally.Outcome == Answered && c.era == c.book.era
 	if read && n.tally.Took < d.site.CountLimit {
 		d.run = min(d.run+1, heedRun)
 		d.heed = min(d.heed*(1+heedMore*d.run), 1)
@@ -883,7 +878,7 @@
 			return true
 		}
 	}
-	turned, while := s.turned[j.kind()], s.fleet.while()
+	turned, while := s.turned[s.kind(j)], s.fleet.while()
 	return told.bad > told.good && s.now < told.bad+while || turned > 0 && s.now < turned+while
 }
 
@@ -957,7 +952,7 @@
 	own, sum, n := 0.0, 0.0, 0.0
 	for i, r := range f.lanes {
 		for k, p := range f.site.Plans {
-			if pace := r.pace(); pace > 0 {
+			if pace := r.pace(); pace > 0 && !r.Closed && !p.Closed {
 				gain := max(r.Gain*cmp.Or(p.Price, 1), gainLeast) / float64(pace)
 				if sum, n = sum+gain, n+1; i == j.Lane && k == j.Plan {
 					own = gain
@@ -1048,10 +1043,10 @@
 	worse := 0
 	switch p.Outcome {
 	case Answered:
-		s.ill, s.fates[j.Lane].good, s.turned[j.kind()] = 0, s.now, 0
+		s.ill, s.fates[j.Lane].good, s.turned[s.kind(j)] = 0, s.now, 0
 		s.answers.add(samplesRate, s.now)
 	case Full:
-		worse, s.turned[j.kind()] = 1, s.now
+		worse, s.turned[s.kind(j)] = 1, s.now
 	case Errored, TimedOut, NoConnect, Reset, Cancelled:
 		if p.Outcome != Cancelled || p.Took > j.silence() { // called off silent is as good as timed out
 			worse, s.failed = illLeast, s.now
@@ -1111,7 +1106,7 @@
 	push := &j.pushes[p.Number]
 	push.ended, push.idle = true, p.Outcome == Full || p.Outcome == NoConnect || p.Outcome == Moot
 	j.over = j.over || p.Done
-	if p.Use > 0 {
+	if p.Use > 0 && c.site.Meter > 0 {
 		j.book.metered(p.Use - 1)
 	}
 	if p.Outcome == Answered && j.paid {
