--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1070,7 +1070,7 @@
 	switch n.push.Outcome {
 	case Full:
 		if s.ill > 1 { // no answer to anyone between two: no mere quarrel with a lane or a plan
-			f.took.add(samplesRate, spent{f.now + soft, 1})
+			f.took.add(samplesMany, spent{f.now + soft, 1})
 		}
 	case Answered:
 		n.job.row.took.add(samplesMany, n.push.Took)
@@ -1081,7 +1081,7 @@
 		}
 		n.job.row.unit.add(samplesMany, time.Duration(each))
 		n.job.row.paces = slices.Sorted(slices.Values(n.job.row.unit.items))
-		f.took.add(samplesRate, spent{f.now - n.push.Took + 2*soft, float64(n.push.Took) / float64(soft)})
+		f.took.add(samplesMany, spent{f.now - n.push.Took + 2*soft, float64(n.push.Took) / float64(soft)})
 		if s.Stage == Ready && s.warmth(f.now) >= 1 {
 			f.load.add(samplesLoad, answer{at: f.now, warm: f.warm()})
 		}
