--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	busyTime    = 20 * time.Second       // how far back own tries tell what a customer asks
 	gainLeast   = 1e-3                   // of a task, where lane or plan gain nothing
 	useMost     = 8.0                    // words of a meter that count: each tells of a moment
-	busyPart    = 0.2                    // part of a limit on pushes out that may be used on a guess
+	busyPart    = 0.07                    // part of a limit on pushes out that may be used on a guess
 	heedLess    = 0.75                   // a failed call makes the next this much less likely
 	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more
 	heedRun     = 25                     // so many of them end a pause; at rest one call in nine fails
@@ -462,9 +462,6 @@
 func (d *desk) asked(n note) {
 	j, b := n.job, n.job.book
 	b.fill(d.now)
-	if !j.Repeat && !j.asked {
-		b.busy += b.width * float64(j.row.decile(5)) / float64(busyTime)
-	}
 	switch {
 	case j.over || j.paid:
 	case j.asked:
@@ -621,6 +618,9 @@
 	if b.counts() {
 		held = mine >= most || d.now < b.blocked || !read && d.chance.Float64()*b.busy > busyPart*most
 	}
+	if !j.Repeat {
+		b.busy += b.width * float64(usual) / float64(busyTime)
+	}
 	if held {
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: usual})
 		return
