--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	busyTime    = 20 * time.Second       // how far back own tries tell what a customer asks
 	gainLeast   = 1e-3                   // of a task, where lane or plan gain nothing
 	useMost     = 8.0                    // words of a meter that count: each tells of a moment
-	busyPart    = 0.07                    // part of a limit on pushes out that may be used on a guess
+	busyPart    = 0.07                   // part of a limit on pushes out that may be used on a guess
 	heedLess    = 0.75                   // a failed call makes the next this much less likely
 	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more
 	heedRun     = 25                     // so many of them end a pause; at rest one call in nine fails
