--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	heedMore    = 0.01                   // quick answers make it more likely, each in a row by so much more
 	heedRun     = 25                     // so many of them end a pause; at rest one call in nine fails
 	needWidth   = 16.0                   // gateways in a set for which its power is 1 whatever the store holds
+	hopeTenth   = 8                      // the decile of answer times that a try must be given
 	heedLeast   = 0.05                   // the least chance of a call: a lost counter is found again in a second
 	thinTasks   = 2.0                    // tasks a window under which a gateway learns too little of a customer
 	rampTimes   = 4.0                    // so many answer times' units, a thin customer's last, go by lot
@@ -456,7 +457,8 @@
 	return x ^ x>>31
 }
 
-// asked checks a task: the customer's pending charges are added to its count, and the answer decides. While
+// asked checks a task: the customer's pending charges are added to its count, and the answer decides. What is
+// late, or given too little time for its units, is rejected at once: clients come again with more. While
 // calls are left out, repeats of thin customers are rejected unasked: they would take calls from first tries,
 // and each be one more chance of its task to pass unseen. Harm: a task rejected by chance.
 func (d *desk) asked(n note) {
@@ -466,7 +468,7 @@
 	case j.over || j.paid:
 	case j.asked:
 		d.decide(j, false) // the check takes too much of the soft limit
-	case d.now >= j.soft:
+	case d.now >= j.soft || d.now+j.takes(hopeTenth) > j.Expires:
 		d.post(&d.course.part, note{what: d.course.finish, job: j, away: j.row.Patience})
 	case b.plan.Rate > 0 && b.left+b.assumed < j.Units && len(b.pending) == 0:
 		d.decide(j, true) // a count only grows: no total could let this task in, and nothing waits to be charged
@@ -903,11 +905,14 @@
 }
 
 // silence is how long a push may have no answer before it counts as lost: the longer, the more units it has.
-func (j *job) silence() time.Duration {
+func (j *job) silence() time.Duration { return max(silentTimes*j.takes(9), silentLeast) }
+
+// takes is a decile of the time that a task will take, by its units; 0 before any answer.
+func (j *job) takes(tenth int) time.Duration {
 	if n := len(j.row.paces); n > 0 {
-		return max(time.Duration(silentTimes*max(j.Units, 1)*float64(j.row.paces[n*9/10])), silentLeast)
+		return time.Duration(max(j.Units, 1) * float64(j.row.paces[n*tenth/10]))
 	}
-	return silentLeast
+	return 0
 }
 
 // pace is how long a unit takes; 0 before any answer.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1062,3 +1062,21 @@
 		t.Errorf("%d pushes to the fast server, %d to one half as fast", fast, slow)
 	}
 }
+
+// Clients that gave a try up after a third of the soft limit kept servers and limits busy with tasks that could not be
+// answered in that time, and came again with as little, many times.
+func TestATryGivenTooLittleForItsUnitsIsRejectedAtOnce(t *testing.T) {
+	s := begin(t, site(), 4)
+	for id := uint32(1); id <= 5; id++ {
+		s.take(id, 0, 0, 1)
+		s.g.Ended(s.now, Push{Task: id, Server: s.pushes[id-1].server, Outcome: Answered, Took: 40 * ms, Done: true})
+		s.pass(10 * ms)
+	}
+	for id, units := range map[uint32]float64{6: 4, 7: 6} {
+		s.g.Take(s.now, Task{ID: id, Customer: 1, Width: 2, Units: units, Expires: s.now + 200*ms})
+		s.counter()
+	}
+	s.wantPushed(6, 1)
+	s.wantPushed(7, 0)
+	s.want("reject 7 away 2s", 1)
+}
