--- a/internal/boot/boot_test.go
+++ b/internal/boot/boot_test.go
@@ -165,3 +165,13 @@
 		t.Errorf("kept %v, and have %+v", keys, h)
 	}
 }
+
+// Settings without a lane were found out only after the counter had moved to the address beside them.
+func TestSettingsWithoutALaneOrAPlanAreRefusedWhenRead(t *testing.T) {
+	for _, key := range []string{"RequestClasses", "TiersOfService"} {
+		text := strings.Replace(told, `"`+key+`":[`, `"`+key+`":[],"Unused":[`, 1)
+		if _, err := parse([]byte(text)); err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("no %s: %v", key, err)
+		}
+	}
+}
--- a/internal/boot/handed.go
+++ b/internal/boot/handed.go
@@ -109,6 +109,11 @@
 		IdleLimit:     Span(p.Number("PolicyLimits.IdleCloseMs")),
 		Known:         file.Known}
 	h.Deployment, err = Deployment(p)
+	if err == nil {
+		if unfit := h.Deployment.Fit(); unfit != nil {
+			err = fmt.Errorf("settings: RequestClasses, TiersOfService: %w", unfit)
+		}
+	}
 	if err == nil && h.Deployment.HasCounter && h.Counter == "" {
 		err = errors.New("configuration: counter: host:port is wanted where the settings have a counter")
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -116,7 +116,7 @@
 
 // New makes a gateway with no memory of an earlier life. It asks nothing of the host yet.
 func New(site Deployment, seed int64, host Host) (*Gateway, error) {
-	if err := site.fit(); err != nil {
+	if err := site.Fit(); err != nil {
 		return nil, err
 	}
 	g := &Gateway{host: host, chance: rand.New(rand.NewSource(seed)), jobs: map[uint32]*job{}}
--- a/policy/reshape.go
+++ b/policy/reshape.go
@@ -36,8 +36,8 @@
 	return out
 }
 
-// fit tells whether settings can be used at all.
-func (d *Deployment) fit() error {
+// Fit tells whether settings can be used at all: an open lane, a plan, a gateway.
+func (d *Deployment) Fit() error {
 	open := func(l Lane) bool { return !l.Closed }
 	if !slices.ContainsFunc(d.Lanes, open) || len(d.Plans) == 0 || d.Gateways < 1 {
 		return errors.New("a gateway needs at least one lane, one plan and its place among the gateways")
@@ -52,7 +52,7 @@
 func (g *Gateway) Reshape(now time.Duration, site Deployment) (Deployment, error) {
 	was := g.site
 	site = site.After(was)
-	if err := site.fit(); err != nil {
+	if err := site.Fit(); err != nil {
 		return was, err
 	}
 	g.reach(now)
