--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -121,6 +121,17 @@
 	return w
 }
 
+// reload has the program take a configuration, and waits until its log says a line once more.
+func (w *world) reload(config, line string) {
+	w.Helper()
+	before := strings.Count(w.log.String(), line)
+	if err := os.WriteFile(w.config, []byte(config), 0o600); err != nil {
+		w.Fatal(err)
+	}
+	_ = w.cmd.Process.Signal(syscall.SIGHUP)
+	standin.Eventually(w, line, func() bool { return strings.Count(w.log.String(), line) > before })
+}
+
 // client is a connection to the gateway.
 type client struct {
 	*testing.T
@@ -482,22 +493,14 @@
 func TestNewConfigurationMovesCounterAndDiscovery(t *testing.T) {
 	w := begin(t, 1024, hello)
 	c := w.dial()
-	hangUp := func(config, line string) {
-		t.Helper()
-		if err := os.WriteFile(w.config, []byte(config), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		_ = w.cmd.Process.Signal(syscall.SIGHUP)
-		standin.Eventually(t, line, func() bool { return strings.Contains(w.log.String(), line) })
-	}
-	hangUp(`{"listen":`, "the new configuration is not taken")
+	w.reload(`{"listen":`, "the new configuration is not taken")
 	c.send(look("c=look,t=wide,d=4800"))
 	c.want("hello")
 	w.counter.Call(t)
 
 	other := standin.NewServer(t, func([]string) string { return standin.Value("other", 1) })
 	count, list := standin.NewCounter(t), standin.NewDiscovery(t, standin.Host("s-2", other.Addr, "in_service"))
-	hangUp(fmt.Sprintf(told, w.addr, list.Addr, count.Addr, 1024, "null"), "a new configuration")
+	w.reload(fmt.Sprintf(told, w.addr, list.Addr, count.Addr, 1024, "null"), "a new configuration")
 	for q := ""; !strings.HasPrefix(q, "since=1&"); { // told
 		q = <-list.Queries
 	}
--- a/cmd/harrierhoist/reshape_test.go
+++ b/cmd/harrierhoist/reshape_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -58,15 +56,6 @@
 	both := []string{standin.Host("s-1", w.server.Addr, "in_service"), standin.Host("s-2", second.Addr, "in_service")}
 	w.discovery.Tell(true, both...)
 
-	settings := func(config, line string) {
-		t.Helper()
-		before := strings.Count(w.log.String(), line)
-		if err := os.WriteFile(w.config, []byte(config), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		_ = w.cmd.Process.Signal(syscall.SIGHUP)
-		standin.Eventually(t, line, func() bool { return strings.Count(w.log.String(), line) > before })
-	}
 	old := fmt.Sprintf(told, w.addr, w.discovery.Addr, w.counter.Addr, 1024, "null")
 	there := moved(w, w.discovery.Addr, w.counter.Addr)
 
@@ -110,12 +99,12 @@
 
 	c := w.dial()
 	for round := range 3 {
-		settings(there, "a new configuration")
+		w.reload(there, "a new configuration")
 		c.send(look("c=read,t=open,d=4800,units=1"))
 		c.want("hello")
 		c.send(pay("body"))
 		c.want("-ERR unknown.*: c")
-		settings(strings.Replace(there, `"Concurrency":50`, `"Concurrency":-1`, 1), "TiersOfService.0.Concurrency must be from 0 to")
+		w.reload(strings.Replace(there, `"Concurrency":50`, `"Concurrency":-1`, 1), "TiersOfService.0.Concurrency must be from 0 to")
 		c.send(look("c=read,t=open,d=4800,units=1")) // in force as before
 		c.want("hello")
 		if round == 1 {
@@ -123,7 +112,7 @@
 			time.Sleep(1100 * time.Millisecond)
 			drained.Store(true)
 		}
-		settings(old, "a new configuration")
+		w.reload(old, "a new configuration")
 		c.send(pay("body"))
 		c.want("hello")
 		c.send(look("c=read,t=open,d=4800,units=1"))
@@ -154,11 +143,7 @@
 	w := begin(t, 1024, hello)
 	config := strings.Replace(moved(w, w.discovery.Addr, w.counter.Addr), "8c1f30d27a5be964", "8c1f30d27a5be965", 1)
 	config = strings.Replace(config, `"Dcs":["hall-a"]`, `"Dcs":["hall-a","hall-b"]`, 1)
-	if err := os.WriteFile(w.config, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	_ = w.cmd.Process.Signal(syscall.SIGHUP)
-	standin.Eventually(t, "the new configuration", func() bool { return strings.Contains(w.log.String(), "a new configuration") })
+	w.reload(config, "a new configuration")
 	if !strings.Contains(w.log.String(), `"keys":["seed","settings.Dcs"]`) {
 		t.Errorf("not named: %s", w.log)
 	}
@@ -172,14 +157,7 @@
 	w := begin(t, 1024, hello)
 	without := strings.Replace(fmt.Sprintf(told, w.addr, w.discovery.Addr, "", 1024, "null"), `"HasCounter":true`, `"HasCounter":false`, 1)
 	for _, config := range []string{without, fmt.Sprintf(told, w.addr, w.discovery.Addr, w.counter.Addr, 1024, "null")} {
-		before := strings.Count(w.log.String(), "a new configuration")
-		if err := os.WriteFile(w.config, []byte(config), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		_ = w.cmd.Process.Signal(syscall.SIGHUP)
-		standin.Eventually(t, "the new configuration", func() bool {
-			return strings.Count(w.log.String(), "a new configuration") > before
-		})
+		w.reload(config, "a new configuration")
 		c := w.dial()
 		c.send(look("c=look,t=wide,d=4800,units=1"))
 		c.want("hello")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,18 +148,16 @@
 	in.clients.Reshape(&site)
 	in.list.Move(told.Discovery)
 	in.told = told
-	open := func(closed bool, name string, names []string) []string {
-		if closed {
-			return names
-		}
-		return append(names, name)
-	}
 	var lanes, plans []string
 	for _, l := range site.Lanes {
-		lanes = open(l.Closed, l.Name, lanes)
+		if !l.Closed {
+			lanes = append(lanes, l.Name)
+		}
 	}
 	for _, p := range site.Plans {
-		plans = open(p.Closed, p.Name, plans)
+		if !p.Closed {
+			plans = append(plans, p.Name)
+		}
 	}
 	in.log.Info("a new configuration", zap.String("discovery", told.Discovery), zap.String("counter", told.Counter),
 		zap.Int("gateways", site.Gateways), zap.Strings("lanes", lanes), zap.Strings("plans", plans))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,48 +55,6 @@
 	hallPrice   = 0.25                   // a server in another hall counts as this much fuller: ties stay near
 )
 
-// last keeps the last few samples of a thing.
-type last[T any] struct {
-	items []T
-	next  int
-}
-
-func (l *last[T]) add(size int, v T) {
-	if len(l.items) < size {
-		l.items = append(l.items, v)
-		return
-	}
-	l.items[l.next] = v
-	l.next = (l.next + 1) % size
-}
-
-// latest gives the n-th sample from the newest, counted from 0.
-func (l *last[T]) latest(n int) T { return l.items[(l.next-1-n+2*len(l.items))%len(l.items)] }
-
-// part is an actor with its inbox.
-type part struct{ inbox []note }
-
-type note struct {
-	what  func(note) // the handler at the part that gets it
-	job   *job
-	push  Push
-	tally Tally
-	units float64
-	away  time.Duration
-	list  []Listed
-	kind  ListKind
-}
-
-// row is a lane as the module reads it.
-type row struct {
-	Lane
-	allowed []time.Duration     // by plan: what its clients give a first try
-	took    last[time.Duration] // answer times
-	sorted  []time.Duration     // the same in order
-	unit    last[time.Duration] // answer times a unit
-	paces   []time.Duration     // the same in order
-}
-
 // Gateway is one instance.
 type Gateway struct {
 	site     Deployment
@@ -259,36 +217,9 @@
 // Heard takes a peer's message. Peers are not listened to: gateways learn of each other from the counter.
 func (g *Gateway) Heard(time.Duration, int, []byte) {}
 
-type job struct {
-	Task
-	soft   time.Duration // when the soft limit ends
-	row    *row
-	book   *book
-	pushes []sent
-	asked  bool  // waits at the quota desk
-	paid   bool  // its units stand in the book
-	claim  int64 // the window in whose count its push stands, where the plan limits those; 0: in none
-	begun  bool  // a streamed answer has started
-	waits  bool  // waits, or has waited, for a server
-	over   bool  // the final answer is given
-}
-
-type sent struct {
-	server *server
-	at     time.Duration
-	ended  bool
-	idle   bool // ended, and proven never to have run
-}
-
 // kind numbers a task's lane and plan.
 func (g *Gateway) kind(j *job) int { return j.Lane*len(g.site.Plans) + j.Plan }
 
-func (j *job) sentAt() time.Duration { return j.pushes[len(j.pushes)-1].at }
-
-func (j *job) isOut() bool {
-	return slices.ContainsFunc(j.pushes, func(s sent) bool { return !s.ended })
-}
-
 // may is the one place that says, for a task and its pushes so far, whether it may be pushed to a server
 // (nil: to any at all) and whether it may be rejected. It guards the rule that no effect happens twice.
 func (j *job) may(now time.Duration, to *server, site *Deployment) (push, reject bool) {
@@ -320,51 +251,6 @@
 	taken     float64 // share of the latest calls that the counter took
 }
 
-// book is what the desk knows of a customer.
-type book struct {
-	customer uint64
-	plan     *Plan
-	width    float64
-	length   time.Duration // of its windows
-	offset   time.Duration // of their starts
-	out      int           // tasks cleared and not yet over
-	looks    [2]look       // the latest at this window's total, and at the one's before
-	left     float64       // units that the store is believed to hold, reckoned at the time filled
-	owed     float64       // units that we sent on and that no total has shown yet
-	assumed  float64       // units that others are only assumed to have used since the latest look
-	pending  []charge      // from answers, for the next check
-	opened   int64         // the latest window that we opened
-	era      int           // counts the changes of its quota: a total of an earlier one says nothing
-	ceiling  float64       // units that this gateway's own share of the ceiling holds
-	told     float64       // how often its use was told, up to useMost
-	use      float64       // part of its rate that it used, by the latest of these
-	busy     float64       // pushes of all gateways that its first tries here would keep out
-	blocked  time.Duration // until when the limit on pushes out is taken to be reached
-	filled   time.Duration
-}
-
-// look is a total read and what the customer's store of units could hold then.
-type look struct {
-	window       int64
-	at           time.Duration
-	total, level float64
-}
-
-type charge struct {
-	units float64
-	at    time.Duration
-}
-
-// call is a call that is out; answers come in order for a name.
-type call struct {
-	job     *job // nil where no task waits for the answer
-	book    *book
-	window  int64
-	charges []charge
-	sum     float64
-	era     int // of the book then
-}
-
 // open finds a customer's book. All gateways work out the same windows from the common clock, those of the
 // customers apart, to crowd no counter. The ceiling's share starts from nothing as an earlier life may have
 // used it.
@@ -710,36 +596,6 @@
 	load    last[answer] // of warm servers
 }
 
-// spent is the part of its soft limit that a push took, and until when that tells of now: queues pass.
-type spent struct {
-	until time.Duration
-	part  float64
-}
-
-type answer struct {
-	at   time.Duration
-	warm int
-}
-
-type fate struct{ good, bad time.Duration }
-
-// server is one server's actor.
-type server struct {
-	*Gateway
-	part
-	Listed
-	out     []*job
-	fates   []fate          // by lane
-	turned  []time.Duration // by lane and plan: when one was turned away, with none answered since
-	slow    float64         // how much longer than others it takes, as a part
-	ill     int             // failures since the latest answer
-	failed  time.Duration
-	answers last[time.Duration]
-	share   float64 // part of a push that we might send at the time grown, while it is cold
-	grown   time.Duration
-	aside   bool // logged as set aside
-}
-
 // listed obeys the list at once: what it does not call ready gets nothing new from here on.
 func (f *fleet) listed(n note) {
 	if n.kind == ListFailed {
@@ -938,7 +794,12 @@
 		return
 	}
 	s, wait := f.find(j)
-	shed := len(j.pushes) == 0 && !j.waits && f.chance.Float64() >= math.Pow(f.calm(), f.cheap(j))
+	shed := false
+	if len(j.pushes) == 0 && !j.waits {
+		if lot, calm := f.chance.Float64(), f.calm(); calm < 1 {
+			shed = lot >= math.Pow(calm, f.cheap(j))
+		}
+	}
 	switch {
 	case !shed && s != nil:
 		f.post(&s.part, note{what: s.carry, job: j})
--- a/policy/reshape_test.go
+++ b/policy/reshape_test.go
@@ -137,3 +137,32 @@
 		t.Error("a counter that is not there was called")
 	}
 }
+
+// A plan with neither rate nor limit is unlimited: its customers have no windows, also those that had some before, and
+// what comes late or twice for them counts once.
+func TestAPlanWithNeitherRateNorLimitIsUnlimited(t *testing.T) {
+	s := begin(t, site(), 4)
+	s.down = true
+	s.take(1, 0, 4, 1) // claims in a window
+	d := site()
+	d.Plans[4] = Plan{Name: "out"}
+	s.reshape(d)
+	s.down = false
+	s.counter() // the total asked for before
+	s.wantPushed(1, 1)
+	for range 2 {
+		s.g.Ended(s.now, Push{Task: 1, Server: s.pushes[0].server, Outcome: Answered, Took: 20 * ms, Done: true})
+	}
+	s.counter()
+	if out := s.g.desk.books[0].out; out != 0 || len(s.g.jobs) != 0 {
+		t.Errorf("%d out and %d tasks after their end came twice", out, len(s.g.jobs))
+	}
+	for id := uint32(2); id <= 9; id++ {
+		s.take(id, 0, 4, 8)
+		s.end(id, Answered)
+		s.wantPushed(id, 1)
+	}
+	s.reshape(site())
+	s.take(10, 0, 4, 1)
+	s.wantPushed(10, 1)
+}
