--- /dev/null
+++ b/internal/drill/process.go
@@ -0,0 +1,116 @@
+package drill
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// Build builds the program into a folder and gives its path.
+func Build(folder string) (string, error) {
+	path := filepath.Join(folder, "harrierhoist")
+	out, err := exec.Command("go", "build", "-o", path, "harrierhoist/cmd/harrierhoist").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+}
+
+// Log is what a process wrote, over all its lives.
+type Log struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write takes what it writes.
+func (l *Log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// String is all of it.
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// Count is how often words are in it.
+func (l *Log) Count(words string) int { return strings.Count(l.String(), words) }
+
+// Process is one process of the program, which may be started again after its end.
+type Process struct {
+	Name string
+	Log  Log
+
+	program string
+	env     []string
+	limit   int // blocks of 512 bytes that a file of it may have; 0: no limit
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+// NewProcess names a process that is not running yet; env is added to this process's own.
+func NewProcess(program, name string, env ...string) *Process {
+	return &Process{Name: name, program: program, env: env}
+}
+
+// LimitFiles has files of the process's next life grow to so many blocks of 512 bytes and no further: writes beyond
+// fail as on a full disk. 0: no limit.
+func (p *Process) LimitFiles(blocks int) { p.limit = blocks }
+
+// Start starts it.
+func (p *Process) Start() error {
+	p.cmd = exec.Command(p.program)
+	if p.limit > 0 {
+		// The signal that comes with such a write is ignored, so that the write itself fails; both are kept by exec.
+		p.cmd = exec.Command("sh", "-c", fmt.Sprintf(`trap '' XFSZ; ulimit -f %d; exec "$0"`, p.limit), p.program)
+	}
+	p.cmd.Env = append(os.Environ(), p.env...)
+	p.cmd.Stdout, p.cmd.Stderr = &p.Log, &p.Log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.ended = ended
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal: SIGSTOP to let it stand still, SIGCONT to let it go on, SIGTERM, SIGHUP.
+func (p *Process) Signal(s syscall.Signal) {
+	if p.Runs() {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends it at once and waits for the end.
+func (p *Process) Kill() {
+	if p.cmd != nil {
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+	}
+}
+
+// Runs tells whether it was started and has not ended.
+func (p *Process) Runs() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
