--- /dev/null
+++ b/internal/cluster/follow/held.go
@@ -0,0 +1,121 @@
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"harrierhoist/internal/cluster"
+	"harrierhoist/internal/cluster/tables"
+)
+
+// shelf is what a process holds of the tables. It takes answers in any order, late or doubled ones too.
+type shelf struct {
+	mu      sync.RWMutex
+	held    map[string]cluster.Held
+	rest    time.Duration // until when it is confirmed that tables not held were never written
+	changed chan struct{}
+}
+
+func newShelf() *shelf { return &shelf{held: map[string]cluster.Held{}, changed: make(chan struct{})} }
+
+// known are the epochs held.
+func (s *shelf) known() map[string]uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	known := make(map[string]uint64, len(s.held))
+	for name, h := range s.held {
+		known[name] = h.Epoch
+	}
+	return known
+}
+
+// take takes the answer to a read that was sent with epochs known, and holds what it confirms until a time that counts
+// from when it was sent. An epoch never goes back, nor does a lease.
+func (s *shelf) take(known map[string]uint64, answer map[string]tables.Entry, until time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := until > s.rest && s.rest == 0
+	for name, e := range answer {
+		if h := s.held[name]; e.Epoch > h.Epoch {
+			s.held[name] = cluster.Held{Table: name, Epoch: e.Epoch, Value: e.Value, Until: h.Until}
+			news = true
+		}
+	}
+	for name, h := range s.held {
+		stands := known[name] // what the answer says the table stood at
+		if e, ok := answer[name]; ok {
+			stands = e.Epoch
+		}
+		if stands == h.Epoch {
+			h.Until = max(h.Until, until)
+			s.held[name] = h
+		}
+	}
+	s.rest = max(s.rest, until)
+	if news {
+		s.tell()
+	}
+}
+
+// tell wakes those who wait for a change. The lock is held.
+func (s *shelf) tell() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// turn wakes them because a lease ended or came back.
+func (s *shelf) turn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tell()
+}
+
+func (s *shelf) get(table string) cluster.Held {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if h, ok := s.held[table]; ok {
+		return h
+	}
+	return cluster.Held{Table: table, Until: s.rest}
+}
+
+func (s *shelf) wait() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+// until is when the latest confirmation ends.
+func (s *shelf) until() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.rest
+}
+
+// counts are what a process has counted since its start.
+type counts struct {
+	mu     sync.Mutex
+	merged []func(add func(string, uint64))
+	exact  []func(add func(string, uint64))
+}
+
+func (c *counts) witness(to *[]func(add func(string, uint64)), f func(add func(string, uint64))) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*to = append(*to, f)
+}
+
+// sums has every witness give its counts; two that give the same name are added.
+func (c *counts) sums() (merged, exact map[string]uint64) {
+	c.mu.Lock()
+	m, e := c.merged, c.exact
+	c.mu.Unlock()
+	gather := func(from []func(add func(string, uint64))) map[string]uint64 {
+		all := map[string]uint64{}
+		for _, f := range from {
+			f(func(name string, n uint64) { all[name] += n })
+		}
+		return all
+	}
+	return gather(m), gather(e)
+}
