RELAY_COMMON: a process takes part in what is held in common, as the charter says

A voter may run without a gateway; one with an empty disk begins a log only once all voters of the file said that they have none.

--- a/cmd/harrierhoist/main.go
+++ b/cmd/harrierhoist/main.go
@@ -4,13 +4,16 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"harrierhoist/internal/daemon"
 )
 
 func main() {
-	if err := daemon.Run(os.Getenv("RELAY_CONFIG")); err != nil {
-		fmt.Fprintln(os.Stderr, "harrierhoist:", err)
+	if err := daemon.Run(os.Getenv("RELAY_CONFIG"), os.Getenv("RELAY_COMMON")); err != nil {
+		for line := range strings.SplitSeq(err.Error(), "\n") {
+			fmt.Fprintln(os.Stderr, "harrierhoist:", line)
+		}
 		os.Exit(1)
 	}
 }
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -30,7 +30,9 @@
 	// PrivateNetwork says that the network between the processes is private: links are plain, so without it
 	// nothing but loopback is listened on or dialled.
 	PrivateNetwork bool `toml:"private_network"`
-	Single         bool `toml:"single"` // one voter alone is enough: for trials
+	// Connections is how many a voter's link takes at a time: two for each process that follows it.
+	Connections int  `toml:"connections"`
+	Single      bool `toml:"single"` // one voter alone is enough: for trials
 }
 
 // Voter is one of the processes that hold the log.
@@ -54,6 +56,10 @@
 	leaseLeast = 500 * time.Millisecond // shorter, one lost message ends it
 	leaseMost  = 30 * time.Second       // longer, a process cut off acts on what is long past
 
+	connectionsUsual = 1024 // 300 processes on one voter, with room
+	connectionsLeast = 16
+	connectionsMost  = 65536
+
 	digestUsual = 200 * time.Millisecond
 	digestLeast = 50 * time.Millisecond // more often, 3,000 processes are a burden to the voters
 	digestMost  = 5 * time.Second       // less often, deciders see too late
@@ -106,6 +112,7 @@
 		{"process.listen", was.Listen == now.Listen},
 		{"process.disk", was.Disk == now.Disk},
 		{"process.private_network", was.PrivateNetwork == now.PrivateNetwork},
+		{"process.connections", was.Connections == now.Connections},
 		{"process.single", was.Single == now.Single},
 	} {
 		if !k.same {
--- a/internal/charter/check.go
+++ b/internal/charter/check.go
@@ -88,6 +88,9 @@
 	}
 	within("timing.lease", c.Timing.Lease, leaseLeast, leaseMost)
 	within("timing.digest_every", c.Timing.DigestEvery, digestLeast, digestMost)
+	if p.Connections < connectionsLeast || p.Connections > connectionsMost {
+		fault("process.connections", "must be from %d to %d, not %d", connectionsLeast, connectionsMost, p.Connections)
+	}
 	terms := c.Terms()
 	for _, table := range slices.Sorted(maps.Keys(terms)) {
 		faults = append(faults, terms[table].Check()...)
--- a/internal/charter/read.go
+++ b/internal/charter/read.go
@@ -34,7 +34,8 @@
 	lines := bytes.Split(text, []byte("\n"))
 	var faults []error
 	for {
-		c := &Charter{Timing: Timing{Lease: Span(leaseUsual), DigestEvery: Span(digestUsual)}}
+		c := &Charter{Process: Process{Connections: connectionsUsual},
+			Timing: Timing{Lease: Span(leaseUsual), DigestEvery: Span(digestUsual)}}
 		err := toml.NewDecoder(bytes.NewReader(bytes.Join(lines, []byte("\n")))).DisallowUnknownFields().Decode(c)
 		var missing *toml.StrictMissingError
 		var bad *toml.DecodeError
@@ -143,3 +144,6 @@
 	slices.Sort(all)
 	return all
 }
+
+// Faults are the lines of an error of Read.
+func Faults(err error) []string { return strings.Split(err.Error(), "\n") }
--- a/internal/cluster/link/wire.go
+++ b/internal/cluster/link/wire.go
@@ -45,12 +45,14 @@
 
 // Standing is what a voter says of itself to whoever asks.
 type Standing struct {
-	Number      uint64         `cbor:"1,keyasint"` // as its file has it, or its disk once it has begun
-	Name        string         `cbor:"2,keyasint"` // of its process
-	Mark        string         `cbor:"3,keyasint"` // of its disk
-	Begun       bool           `cbor:"4,keyasint"` // whether its disk holds a log; until then it takes no other call
-	Incarnation uint64         `cbor:"5,keyasint"` // of its process
-	Status      cluster.Status `cbor:"6,keyasint"` // once it has begun
+	Number      uint64           `cbor:"1,keyasint"` // as its file has it, or its disk once it has begun
+	Name        string           `cbor:"2,keyasint"` // of its process
+	Mark        string           `cbor:"3,keyasint"` // of its disk
+	Begun       bool             `cbor:"4,keyasint"` // whether its disk holds a log; until then it takes no other call
+	Incarnation uint64           `cbor:"5,keyasint"` // of its process
+	Status      cluster.Status   `cbor:"6,keyasint"` // once it has begun
+	Address     string           `cbor:"7,keyasint"` // of its link, by its own file: what the log has of it
+	First       []cluster.Member `cbor:"8,keyasint"` // with whom it began the log, if it did in this life, with the marks of their disks
 }
 
 // Post is what one voter sends another.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,10 +29,14 @@
 	heapPart     = 2  // the part of the memory limit that the heap may grow to before it is swept harder
 )
 
-// Run serves as the file at a path says, until it is asked to end.
-func Run(path string) error {
+// Run serves as the file at a path says, until it is asked to end. Where a charter is named it takes part in what
+// processes hold in common; a voter needs no other file.
+func Run(path, charter string) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else: it would end the program
+	if path == "" && charter != "" {
+		return vote(charter, hup)
+	}
 	told, err := boot.Read(path)
 	if err != nil {
 		return err
@@ -70,6 +74,13 @@
 	if err != nil {
 		return err
 	}
+	common, err := join(charter, log)
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	defer common.close()
+	common.parts(ctx, g, log)
 	go g.Tick(ctx)
 	go list.Watch(ctx)
 	go servers.Sweep(ctx)
@@ -86,6 +97,7 @@
 	go func() {
 		for range hup {
 			in.reload()
+			common.reload()
 		}
 	}()
 
@@ -94,6 +106,7 @@
 	go func() {
 		<-term
 		log.Info("asked to end")
+		go common.resign()
 		clients.Drain(listener)
 		cancel()
 	}()
