--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -65,19 +65,16 @@
 	digestMost  = 5 * time.Second       // less often, deciders see too late
 )
 
-// Span is a length of time in the file: "200ms", "2s".
-type Span time.Duration
+// Span is a length of time in the file: "200ms", "2s". A bare number is refused, as it has no unit.
+type Span struct{ time.Duration }
 
 // UnmarshalText reads a length of time as Go writes it.
 func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	*s = Span(d)
+	var err error
+	s.Duration, err = time.ParseDuration(string(text))
 	return err
 }
 
-// MarshalText writes it as Go does.
-func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
-
 // Terms are the parts' own tables that the file has, by the table's name.
 func (c *Charter) Terms() map[string]interface{ Check() []error } {
 	terms := map[string]interface{ Check() []error }{}
--- /dev/null
+++ b/internal/charter/charter_test.go
@@ -0,0 +1,148 @@
+package charter
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+[process]
+name = "v1"
+hall = "hall-a"
+voter = true
+disk = "/var/lib/harrierhoist"
+
+[timing]
+lease = "3s"
+
+[[voter]]
+number = 1
+name = "v1"
+address = "127.0.0.1:7411"
+
+[[voter]]
+number = 2
+name = "v2"
+address = "[::1]:7412"
+
+[[voter]]
+number = 4
+name = "v3"
+address = "localhost:7413"
+replaces = 3
+`
+
+func TestFileIsTakenWithWhatItLeavesOut(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "common.toml")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Self() == nil || c.Self().Number != 1 || c.Timing.Lease.Duration != 3*time.Second ||
+		c.Timing.DigestEvery.Duration != digestUsual || c.Process.Connections != connectionsUsual || len(c.Terms()) != 0 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Each row changes the good file in one place, and gives all lines that must be said, without the file's name.
+func TestWhatIsWrongIsSaidWithKeyAndWhatIsAllowed(t *testing.T) {
+	for _, row := range []struct{ old, new, want string }{
+		{`name = "v1"`, `name = "v 1"`, `process.name must be 1 to 64 letters, digits, '.', '_' or '-', not "v 1"
+process.voter must be false where no [[voter]] has the name of this process, "v 1"`},
+		{`hall = "hall-a"`, `hal = "hall-a"`, `process.hal is no key; [process] takes connections, disk, hall, listen, name, private_network, single, voter`},
+		{`voter = true`, `voter = "yes"`, `process.voter must be true or false (line 5)
+process.disk must be left out where process.voter is not true, not "/var/lib/harrierhoist"`},
+		{`voter = true`, `voter = true
+connections = 3`, `process.connections must be from 16 to 65536, not 3`},
+		{`voter = true`, `voter = true
+connections = -3`, `process.connections must be from 16 to 65536, not -3`},
+		{`disk = "/var/lib/harrierhoist"`, ``, `process.disk must name a folder where process.voter = true`},
+		{`hall = "hall-a"`, `listen = "127.0.0.1"`, `process.listen must be host:port with a port from 1 to 65535, not "127.0.0.1"`},
+		{`lease = "3s"`, `lease = 3`, `timing.lease must be a time such as "200ms" or "2s" (line 9)`},
+		{`lease = "3s"`, `lease = "3 s"`, `timing.lease must be a time such as "200ms" or "2s" (line 9)`},
+		{`lease = "3s"`, `lease = "100ms"`, `timing.lease must be from 500ms to 30s, not 100ms`},
+		{`lease = "3s"`, `digest_every = "1h"`, `timing.digest_every must be from 50ms to 5s, not 1h0m0s`},
+		{`number = 2`, `number = 1`, `voter.2.number must be 1 or more and no other voter's, not 1`},
+		{`number = 2`, `number = -2`, `voter.number must be a whole number, 0 or more (line 17)
+voter.2.number must be 1 or more and no other voter's, not 0`},
+		{`"[::1]:7412"`, `"127.0.0.1:7411"`, `voter.2.address must be no other voter's, not "127.0.0.1:7411"`},
+		{`"[::1]:7412"`, `"192.0.2.7:7412"`, `voter.2.address must be a loopback address (127.x.x.x, [::1] or localhost), not "192.0.2.7:7412", ` +
+			`unless process.private_network = true says that the network is private`},
+		{`"[::1]:7412"`, `"gateway.example:7412"`, `voter.2.address must be a loopback address (127.x.x.x, [::1] or localhost), not ` +
+			`"gateway.example:7412", unless process.private_network = true says that the network is private`},
+		{`replaces = 3`, `replaces = 5`, `voter.3.replaces must be below its own number and named once, not 5`},
+		{`replaces = 3`, `replaces = 2`, `voter.3.replaces must be the number of a voter that is named no longer, not 2`},
+		{`name = "v2"`, `name = "v3"`, `voter.3.name must be 1 to 64 letters, digits, '.', '_' or '-' and no other voter's, not "v3"`},
+		{`replaces = 3`, `replaces = 3
+[[voter]]
+number = 5
+name = "v4"
+address = "127.0.0.1:7414"`, `voter must be 3 or 5 voters (or 1 where process.single = true, for trials), not 4`},
+		{`[timing]`, `[time]`, `time is no key; the file takes process, timing, voter`},
+		{`[timing]`, `[timing`, `line 8: `},
+	} {
+		if strings.Count(good, row.old) == 0 {
+			t.Fatalf("%q is not in the file", row.old)
+		}
+		_, faults := parse([]byte(strings.Replace(good, row.old, row.new, 1)))
+		var got []string
+		for _, f := range faults {
+			got = append(got, f.Error())
+		}
+		want := strings.Split(row.want, "\n")
+		if strings.HasSuffix(row.want, ": ") && len(got) == 1 && strings.HasPrefix(got[0], row.want) {
+			continue
+		}
+		if slices.Sort(got); !slices.Equal(got, slices.Sorted(slices.Values(want))) {
+			t.Errorf("%q:\n got %q\nwant %q", row.new, got, want)
+		}
+	}
+}
+
+// An operator who is told one fault at a time mends a file in as many rounds as it has faults.
+func TestAllFaultsAreToldAtOnceEachWithTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "common.toml")
+	text := "[process]\nname = 7\nvoter = 1\nhul = \"a\"\n[timing]\nlease = \"1ms\"\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Read(path)
+	if err == nil {
+		t.Fatal("taken")
+	}
+	lines := Faults(err)
+	for _, key := range []string{"process.name", "process.voter", "process.hul", "timing.lease", "voter"} {
+		if !slices.ContainsFunc(lines, func(l string) bool { return strings.HasPrefix(l, path+": "+key+" ") }) {
+			t.Errorf("%s is not told: %q", key, lines)
+		}
+	}
+	if _, err = Read(path + ".none"); err == nil || !strings.Contains(err.Error(), path+".none") {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+func TestPrivateNetworkIsTakenInSoManyWords(t *testing.T) {
+	far := strings.Replace(good, `"[::1]:7412"`, `"192.0.2.7:7412"`, 1)
+	if _, faults := parse([]byte(strings.Replace(far, "voter = true", "voter = true\nprivate_network = true", 1))); len(faults) > 0 {
+		t.Error(faults)
+	}
+}
+
+func TestWhatTakesARestartIsKeptAndNamed(t *testing.T) {
+	old, _ := parse([]byte(good))
+	now, faults := parse([]byte(strings.Replace(strings.Replace(good, "hall-a", "hall-b", 1), "3s", "4s", 1)))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	if keys := now.Keep(old); !slices.Equal(keys, []string{"process.hall"}) || now.Process != old.Process ||
+		now.Timing.Lease.Duration != 4*time.Second {
+		t.Errorf("%q, %+v", keys, now)
+	}
+}
--- a/internal/charter/check.go
+++ b/internal/charter/check.go
@@ -82,8 +82,8 @@
 		fault("voter", "must be 3 or 5 voters (or 1 where process.single = true, for trials), not %d", n)
 	}
 	within := func(key string, s Span, least, most time.Duration) {
-		if time.Duration(s) < least || time.Duration(s) > most {
-			fault(key, "must be from %v to %v, not %v", least, most, time.Duration(s))
+		if s.Duration < least || s.Duration > most {
+			fault(key, "must be from %v to %v, not %v", least, most, s.Duration)
 		}
 	}
 	within("timing.lease", c.Timing.Lease, leaseLeast, leaseMost)
--- a/internal/charter/read.go
+++ b/internal/charter/read.go
@@ -35,7 +35,7 @@
 	var faults []error
 	for {
 		c := &Charter{Process: Process{Connections: connectionsUsual},
-			Timing: Timing{Lease: Span(leaseUsual), DigestEvery: Span(digestUsual)}}
+			Timing: Timing{Lease: Span{leaseUsual}, DigestEvery: Span{digestUsual}}}
 		err := toml.NewDecoder(bytes.NewReader(bytes.Join(lines, []byte("\n")))).DisallowUnknownFields().Decode(c)
 		var missing *toml.StrictMissingError
 		var bad *toml.DecodeError
--- a/internal/commons/commons.go
+++ b/internal/commons/commons.go
@@ -69,7 +69,7 @@
 }
 
 func timing(c *charter.Charter) follow.Timing {
-	return follow.Timing{Lease: time.Duration(c.Timing.Lease), DigestEvery: time.Duration(c.Timing.DigestEvery)}
+	return follow.Timing{Lease: c.Timing.Lease.Duration, DigestEvery: c.Timing.DigestEvery.Duration}
 }
 
 // Commons is what the process's parts ask.
