--- a/internal/cluster/tables/tables.go
+++ b/internal/cluster/tables/tables.go
@@ -129,6 +129,17 @@
 // Table is a table as it stands.
 func (s *State) Table(name string) Entry { return s.tables[name] }
 
+// Since gives the tables that stand at a later epoch than known names; 0: never heard of.
+func (s *State) Since(known map[string]uint64) map[string]Entry {
+	found := map[string]Entry{}
+	for name, e := range s.tables {
+		if e.Epoch > known[name] {
+			found[name] = e
+		}
+	}
+	return found
+}
+
 // Totals are the totals of a table. The map is the caller's.
 func (s *State) Totals(table string) map[string]uint64 { return maps.Clone(s.totals[table]) }
 
--- /dev/null
+++ b/internal/cluster/voter/voter_test.go
@@ -0,0 +1,288 @@
+package voter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/cluster"
+	"harrierhoist/internal/cluster/disk"
+	"harrierhoist/internal/cluster/evidence"
+	"harrierhoist/internal/cluster/tables"
+	"harrierhoist/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// house is some voters in one process, with real disks and clocks, and messages handed over in memory.
+type house struct {
+	t      testing.TB
+	first  []cluster.Member
+	mu     sync.Mutex
+	voters map[uint64]*Voter
+	disks  map[uint64]*disk.Disk
+	cut    map[uint64]bool
+	on     sync.WaitGroup
+}
+
+func newHouse(t testing.TB, n int) *house {
+	h := &house{t: t, voters: map[uint64]*Voter{}, disks: map[uint64]*disk.Disk{}, cut: map[uint64]bool{}}
+	for i := range n {
+		h.first = append(h.first, member(uint64(i+1)))
+	}
+	t.Cleanup(func() {
+		for id := range h.disks {
+			h.kill(id)
+		}
+		h.on.Wait()
+	})
+	return h
+}
+
+func member(n uint64) cluster.Member {
+	return cluster.Member{Number: n, Name: fmt.Sprintf("v%d", n), Address: fmt.Sprintf("127.0.0.1:%d", 7000+n)}
+}
+
+func (h *house) start(n uint64, folder string, hand disk.Hand, first []cluster.Member, d ...cluster.Decider) error {
+	k, err := disk.OpenWith(folder, hand)
+	if err != nil {
+		return err
+	}
+	v, err := Open(member(n), first, k, d, func(to cluster.Member, message []byte) {
+		h.mu.Lock()
+		other, cut := h.voters[to.Number], h.cut[n] || h.cut[to.Number]
+		h.mu.Unlock()
+		if other != nil && !cut {
+			h.on.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_ = other.Step(ctx, message)
+			})
+		}
+	}, zap.NewNop())
+	if err != nil {
+		return errors.Join(err, k.Close())
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.voters[n], h.disks[n] = v, k
+	return nil
+}
+
+func (h *house) open(folders []string, d ...cluster.Decider) {
+	for i, f := range folders {
+		if err := h.start(uint64(i+1), f, disk.Bare{}, h.first, d...); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+}
+
+func (h *house) kill(n uint64) {
+	h.mu.Lock()
+	v, d := h.voters[n], h.disks[n]
+	delete(h.voters, n)
+	delete(h.disks, n)
+	h.mu.Unlock()
+	if v != nil {
+		_ = v.Close()
+		_ = d.Close()
+	}
+}
+
+func (h *house) leader() *Voter {
+	var lead *Voter
+	standin.Eventually(h.t, "leader", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for id, v := range h.voters {
+			if s := v.Status(); s.Leader == id && !h.cut[id] {
+				lead = v
+				return true
+			}
+		}
+		return false
+	})
+	return lead
+}
+
+func folders(t testing.TB, n int) (all []string) {
+	for range n {
+		all = append(all, t.TempDir())
+	}
+	return all
+}
+
+func within(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func write(number, epoch uint64, value string) tables.Command {
+	return tables.Command{Kind: tables.Write, By: "test/1", Number: number, Table: "plan", Epoch: epoch, Value: []byte(value)}
+}
+
+func (h *house) write(c tables.Command) tables.Result {
+	for {
+		r, err := h.leader().Propose(within(h.t), c)
+		if err == nil {
+			return r
+		}
+		if !errors.Is(err, cluster.ErrNotLeader) && !errors.Is(err, cluster.ErrUnknown) {
+			h.t.Fatal(err)
+		}
+	}
+}
+
+// All voters are killed at once and started again: what was acknowledged stands, and is not written twice.
+func TestAllKilledAtOnceKeepWhatWasAcknowledged(t *testing.T) {
+	h, f := newHouse(t, 3), folders(t, 3)
+	h.open(f)
+	if r := h.write(write(1, 0, "a")); !r.Applied || r.Epoch != 1 {
+		t.Fatalf("%+v", r)
+	}
+	for id := range uint64(3) {
+		h.kill(id + 1)
+	}
+	h.open(f)
+	if r := h.write(write(1, 0, "a")); !r.Applied || r.Epoch != 1 {
+		t.Errorf("written again: %+v", r)
+	}
+	for id := range uint64(3) {
+		got, err := h.voters[id+1].Read(within(t), nil, 0)
+		if err != nil || string(got["plan"].Value) != "a" || got["plan"].Epoch != 1 {
+			t.Errorf("voter %d: %v, %v", id+1, got, err)
+		}
+	}
+}
+
+// A leader cut off from the others confirms no read and writes nothing; the others go on without it.
+func TestLeaderCutOffAnswersNoRead(t *testing.T) {
+	h := newHouse(t, 3)
+	h.open(folders(t, 3))
+	h.write(write(1, 0, "a"))
+	old := h.leader()
+	h.mu.Lock()
+	h.cut[old.Status().Number] = true
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if got, err := old.Read(ctx, nil, 0); !errors.Is(err, cluster.ErrNoQuorum) {
+		t.Errorf("%v, %v", got, err)
+	}
+	if r := h.write(write(2, 1, "b")); r.Epoch != 2 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A read waits for news and brings it; without any it ends with its wait.
+func TestReadWaitsForNews(t *testing.T) {
+	h := newHouse(t, 3)
+	h.open(folders(t, 3))
+	h.write(write(1, 0, "a"))
+	known := map[string]uint64{"plan": 1}
+	for _, v := range h.voters {
+		if got, err := v.Read(within(t), known, 50*time.Millisecond); err != nil || len(got) != 0 {
+			t.Errorf("%v, %v", got, err)
+		}
+	}
+	news := make(chan map[string]tables.Entry, 3)
+	for _, v := range h.voters {
+		h.on.Go(func() {
+			got, _ := v.Read(within(t), known, 4*time.Second)
+			news <- got
+		})
+	}
+	h.write(write(2, 1, "b"))
+	for range 3 {
+		if got := <-news; string(got["plan"].Value) != "b" {
+			t.Errorf("read brought %v", got)
+		}
+	}
+}
+
+// counter is a decider that writes the sum it sees where it is another than what stands.
+type counter struct{}
+
+func (counter) Table() string { return "sum" }
+func (counter) Decide(_ time.Duration, s cluster.Seen) ([]byte, bool) {
+	now := fmt.Sprint(s.Sums["pushes"], s.Totals(ExactTable)[evidence.Name("g1", "7", "owed")])
+	return []byte(now), now != string(s.Held("sum").Value)
+}
+
+// What processes tell any voter reaches the deciders at the leader once, whoever leads.
+func TestEvidenceReachesTheDeciders(t *testing.T) {
+	h := newHouse(t, 3)
+	h.open(folders(t, 3), counter{})
+	lead := h.leader()
+	var at *Voter
+	for _, v := range h.voters {
+		if v != lead {
+			at = v
+		}
+	}
+	tell := func(serial, n uint64) {
+		at.Take([]evidence.Digest{{Process: "g1", Incarnation: 7, Serial: serial,
+			Counts: map[string]uint64{"pushes": n}, Exact: map[string]uint64{"owed": n}}})
+	}
+	tell(1, 100)
+	serial, n := uint64(1), uint64(100)
+	seen := func() string {
+		got, _ := at.Read(within(t), nil, 0)
+		return string(got["sum"].Value)
+	}
+	standin.Eventually(t, "growth at the leader", func() bool {
+		serial, n = serial+1, n+10
+		tell(serial, n)
+		time.Sleep(20 * time.Millisecond)
+		var sum, owed uint64
+		_, _ = fmt.Sscan(seen(), &sum, &owed)
+		if sum > n-100 || owed > n {
+			t.Fatalf("more than was told: %d, %d of %d", sum, owed, n)
+		}
+		return sum > 0 && owed > 0
+	})
+	standin.Eventually(t, "last count", func() bool { return seen()[len(seen())-len(fmt.Sprint(n)):] == fmt.Sprint(n) })
+}
+
+// failing is a disk that is full from some write on.
+type failing struct {
+	disk.Bare
+	full func() bool
+}
+
+func (f failing) Write(file *os.File, b []byte) error {
+	if f.full() {
+		return errors.New("no space left")
+	}
+	return f.Bare.Write(file, b)
+}
+
+// A voter whose disk is full ends: it says nothing more, and callers hear that it has stopped.
+func TestFullDiskStopsTheVoter(t *testing.T) {
+	h := newHouse(t, 1)
+	var mu sync.Mutex
+	full := false
+	hand := failing{full: func() bool { mu.Lock(); defer mu.Unlock(); return full }}
+	if err := h.start(1, t.TempDir(), hand, h.first); err != nil {
+		t.Fatal(err)
+	}
+	v := h.leader()
+	h.write(write(1, 0, "a"))
+	mu.Lock()
+	full = true
+	mu.Unlock()
+	if r, err := v.Propose(within(t), write(2, 1, "b")); !errors.Is(err, cluster.ErrStopped) {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if _, err := v.Read(within(t), nil, 0); !errors.Is(err, cluster.ErrStopped) {
+		t.Errorf("read: %v", err)
+	}
+}
