--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -65,14 +65,19 @@
 	digestMost  = 5 * time.Second       // less often, deciders see too late
 )
 
-// Span is a length of time in the file: "200ms", "2s". A bare number is refused, as it has no unit.
-type Span struct{ time.Duration }
+// Span is a length of time in the file: "200ms", "2s".
+type Span struct {
+	time.Duration
+	unfit string // as written where it is none; a bare number is none, as it has no unit
+}
 
-// UnmarshalText reads a length of time as Go writes it.
+// UnmarshalText reads a length of time as Go writes it. What is none is told with all else that is wrong.
 func (s *Span) UnmarshalText(text []byte) error {
-	var err error
-	s.Duration, err = time.ParseDuration(string(text))
-	return err
+	d, err := time.ParseDuration(string(text))
+	if s.Duration, s.unfit = d, ""; err != nil || string(text) == "0" {
+		s.unfit = string(text)
+	}
+	return nil
 }
 
 // Terms are the parts' own tables that the file has, by the table's name.
--- a/internal/charter/check.go
+++ b/internal/charter/check.go
@@ -82,7 +82,9 @@
 		fault("voter", "must be 3 or 5 voters (or 1 where process.single = true, for trials), not %d", n)
 	}
 	within := func(key string, s Span, least, most time.Duration) {
-		if s.Duration < least || s.Duration > most {
+		if s.unfit != "" {
+			fault(key, `must be a time such as "200ms" or "2s", not %s`, s.unfit)
+		} else if s.Duration < least || s.Duration > most {
 			fault(key, "must be from %v to %v, not %v", least, most, s.Duration)
 		}
 	}
--- a/internal/charter/read.go
+++ b/internal/charter/read.go
@@ -35,7 +35,7 @@
 	var faults []error
 	for {
 		c := &Charter{Process: Process{Connections: connectionsUsual},
-			Timing: Timing{Lease: Span{leaseUsual}, DigestEvery: Span{digestUsual}}}
+			Timing: Timing{Lease: Span{Duration: leaseUsual}, DigestEvery: Span{Duration: digestUsual}}}
 		err := toml.NewDecoder(bytes.NewReader(bytes.Join(lines, []byte("\n")))).DisallowUnknownFields().Decode(c)
 		var missing *toml.StrictMissingError
 		var bad *toml.DecodeError
@@ -95,8 +95,6 @@
 
 func kind(t reflect.Type) string {
 	switch {
-	case t == reflect.TypeFor[Span]():
-		return `a time such as "200ms" or "2s"`
 	case t.Kind() == reflect.Bool:
 		return "true or false"
 	case t.Kind() == reflect.String:
--- a/internal/cluster/follow/follow.go
+++ b/internal/cluster/follow/follow.go
@@ -99,6 +99,7 @@
 	all.Go(func() { f.tell(ctx) })
 	all.Go(func() { f.read(ctx) })
 	all.Go(func() { f.watch(ctx) })
+	all.Go(func() { f.sayHeld(ctx) })
 	all.Wait()
 }
 
@@ -226,35 +227,6 @@
 	return f.take(known, answer, sent+lease)
 }
 
-// watch says once when the lease is over and once when it is back, and wakes those who hold tables.
-func (f *Follower) watch(ctx context.Context) {
-	began := f.clock()
-	over, heard := false, false
-	for {
-		_, _, timing := f.source()
-		until := f.shelf.until()
-		heard = heard || until > 0
-		left := max(until, began+timing.Lease) - f.clock()
-		switch {
-		case left <= 0 && !over:
-			over = true
-			f.log.Warn("no voter confirms what is held in common: its lease is over", zap.Bool("ever heard", heard))
-			f.shelf.turn()
-		case left > 0 && over:
-			over = false
-			f.log.Info("what is held in common is confirmed again")
-			f.shelf.turn()
-		}
-		next := timing.Lease / (8 * waits) // until it is back
-		if left > 0 {
-			next = left
-		}
-		if !pause(ctx, next) {
-			return
-		}
-	}
-}
-
 // pause waits, and tells whether the context goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/commons/commons.go
+++ b/internal/commons/commons.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,8 +31,8 @@
 	follower *follow.Follower
 	voter    *seat // nil where it only follows
 
-	mu      sync.Mutex
-	charter *charter.Charter
+	charter atomic.Pointer[charter.Charter]
+	loading sync.Mutex // one file is taken after the other
 
 	end  context.CancelFunc
 	done sync.WaitGroup
@@ -46,7 +47,8 @@
 	}
 	plain := link.Plain{Private: c.Process.PrivateNetwork}
 	p := &Process{path: path, deciders: deciders, log: log.With(zap.String("process", c.Process.Name)),
-		client: link.NewClient(plain, each), charter: c}
+		client: link.NewClient(plain, each)}
+	p.charter.Store(c)
 	// Where a clock was set back between two lives, what the later one counts is not heard until it has passed the earlier.
 	life := uint64(time.Now().UnixNano())
 	ctx, end := context.WithCancel(context.Background())
@@ -76,11 +78,7 @@
 func (p *Process) Commons() cluster.Commons { return p.follower }
 
 // Charter is the file in force.
-func (p *Process) Charter() *charter.Charter {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.charter
-}
+func (p *Process) Charter() *charter.Charter { return p.charter.Load() }
 
 // Reload reads the file again and takes what can change in place: voters, timing, the parts' terms. What only a
 // restart can change is named in the log; a file that is not good leaves all as it was. It tells whether it was taken.
@@ -90,12 +88,12 @@
 		p.log.Error("the new charter is not taken", zap.Strings("faults", charter.Faults(err)))
 		return false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if fixed := c.Keep(p.charter); len(fixed) > 0 {
+	p.loading.Lock()
+	defer p.loading.Unlock()
+	if fixed := c.Keep(p.Charter()); len(fixed) > 0 {
 		p.log.Warn("left as it was: this takes a restart", zap.Strings("keys", fixed))
 	}
-	p.charter = c
+	p.charter.Store(c)
 	p.follower.Move(p.sources(c), timing(c))
 	if p.voter != nil {
 		p.voter.reload(c)
--- a/internal/commons/seat.go
+++ b/internal/commons/seat.go
@@ -54,9 +54,9 @@
 		_ = listener.Close()
 		return nil, fmt.Errorf("%s: process.disk: %w", p.path, err)
 	}
-	s := &seat{process: p, life: life, disk: d, fresh: empty(d), self: self, post: link.NewPostbox(plain),
+	s := &seat{process: p, life: life, disk: d, self: self, post: link.NewPostbox(plain),
 		listener: listener}
-	if !s.fresh {
+	if len(d.Records()) > 0 {
 		if err := s.open(c, nil); err != nil {
 			_ = listener.Close()
 			s.post.Close()
@@ -71,11 +71,6 @@
 	s.server = link.Serve(s.listener, s, c.Process.Connections, s.process.log)
 }
 
-func empty(d any) bool {
-	r, ok := d.(interface{ Records() [][]byte })
-	return !ok || len(r.Records()) == 0
-}
-
 // open opens the voter: with the members that begin the log, or none where the log is on its disk or comes from others.
 func (s *seat) open(c *charter.Charter, first []cluster.Member) error {
 	s.mu.Lock()
