--- /dev/null
+++ b/cmd/harrierhoist/voters_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"harrierhoist/internal/standin"
+)
+
+// A voter asked to end gives the lead away: when it has ended, another leads, without an election's wait.
+func TestLeaderAskedToEndGivesTheLeadAway(t *testing.T) {
+	c := newClub(t, "v1", "v2", "v3")
+	c.start("v1", "v2", "v3")
+	c.write("plan", 0, "one")
+	leader := c.leader()
+	was, _ := c.client.Standing(t.Context(), c.address[leader])
+	_ = c.running[leader].Process.Signal(syscall.SIGTERM)
+	if err := c.running[leader].Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	delete(c.address, leader)
+	for name, address := range c.address {
+		if is, err := c.client.Standing(t.Context(), address); err != nil || is.Status.Leader == was.Number || is.Status.Leader == 0 {
+			t.Errorf("%s: %+v, %v", name, is.Status, err)
+		}
+	}
+}
+
+// A voter whose disk is lost must not come back as if it had never voted: its number is refused, and a new one takes
+// its place once the files say so.
+func TestLostDiskComesBackUnderANewNumberAlone(t *testing.T) {
+	c := newClub(t, "v1", "v2", "v3")
+	c.start("v1", "v2", "v3")
+	c.write("plan", 0, "one")
+	standin.Eventually(t, "the disks' marks", func() bool {
+		s, _ := c.client.Standing(t.Context(), c.address["v1"])
+		n := 0
+		for _, m := range s.Status.Members {
+			if m.Disk != "" {
+				n++
+			}
+		}
+		return n == 3
+	})
+	c.kill("v2")
+	if err := os.RemoveAll(c.disk("v2")); err != nil {
+		t.Fatal(err)
+	}
+	c.start("v2")
+	c.says("v2", "a lost disk comes back under a new number")
+	if s, err := c.client.Standing(t.Context(), c.address["v2"]); err != nil || s.Begun {
+		t.Errorf("%+v, %v", s, err)
+	}
+	c.voters = strings.Replace(c.voters, voterTable(2, "v2", c.address["v2"], 0), voterTable(4, "v2", c.address["v2"], 2), 1)
+	for _, name := range []string{"v1", "v2", "v3"} {
+		c.file(name, c.disk(name))
+		_ = c.running[name].Process.Signal(syscall.SIGHUP)
+	}
+	c.says("v2", "this voter has begun")
+	c.write("plan", 1, "two")
+	c.says("v2", `"plan":2`)
+	c.kill("v1") // the new one counts: with it a majority stands
+	c.write("plan", 2, "three")
+	c.start("v1")
+	c.leader()
+}
+
+// A bad file on SIGHUP leaves all as it was, and says what is wrong with it; what takes a restart is named.
+func TestCharterIsReadAgain(t *testing.T) {
+	c := newClub(t, "v1")
+	c.voters = "single = true\n" + c.voters // ends [process]
+	c.start("v1")
+	c.write("plan", 0, "one")
+	good, _ := os.ReadFile(c.file("v1", c.disk("v1")))
+	for text, line := range map[string]string{
+		strings.Replace(string(good), "single", "singel", 1):                           "process.singel is no key",
+		strings.Replace(string(good), "voter = true", "voter = true\nhall = \"b\"", 1): `left as it was: this takes a restart","process":"v1","keys":["process.hall"]`,
+		string(good) + "[timing]\nlease = \"1s\"\n":                                    "a new charter",
+	} {
+		if err := os.WriteFile(c.file("v1", c.disk("v1")), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.running["v1"].Process.Signal(syscall.SIGHUP)
+		c.says("v1", line)
+	}
+	c.write("plan", 1, "two")
+}
+
+// What a charter must not say ends the program in plain lines, each with the file and the key.
+func TestBadCharterIsPlainLines(t *testing.T) {
+	c := newClub(t, "v1", "v2", "v3")
+	c.voters = strings.Replace(c.voters, c.address["v2"], "192.0.2.1:7400", 1)
+	path := c.file("v1", c.disk("v1"))
+	for charter, keys := range map[string][]string{path: {"voter.2.address"}, path + ".none": {"no such file"}} {
+		c.run("v1", "RELAY_CONFIG=", "RELAY_COMMON="+charter)
+		err := c.running["v1"].Wait()
+		lines := strings.Split(strings.TrimSpace(c.logs["v1"].String()), "\n")
+		if err == nil || len(lines) != len(keys) {
+			t.Fatalf("ended with %v: %q", err, lines)
+		}
+		for i, key := range keys {
+			if !strings.HasPrefix(lines[i], "harrierhoist: ") || !strings.Contains(lines[i], charter) || !strings.Contains(lines[i], key) {
+				t.Error(lines[i])
+			}
+		}
+	}
+}
+
+// Two processes on the files of one voter would be one voter twice: the second does not start.
+func TestSecondProcessOnAVotersFilesIsRefused(t *testing.T) {
+	c := newClub(t, "v1")
+	c.voters = "single = true\n" + c.voters
+	c.start("v1")
+	c.write("plan", 0, "one")
+	text, _ := os.ReadFile(c.file("v1", c.disk("v1")))
+	other := c.file("v1", c.disk("other")) + ".other"
+	moved := strings.Replace(string(text), "voter = true", fmt.Sprintf("voter = true\nlisten = %q", freeAddress(t)), 1)
+	if err := os.WriteFile(other, []byte(moved), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.run("other", "RELAY_CONFIG=", "RELAY_COMMON="+other)
+	if err := c.running["other"].Wait(); err == nil || !strings.Contains(c.logs["other"].String(), "answers at") {
+		t.Errorf("ended with %v: %s", err, c.logs["other"])
+	}
+}
--- a/internal/commons/meet.go
+++ b/internal/commons/meet.go
@@ -17,7 +17,7 @@
 const (
 	meetFirst = 50 * time.Millisecond // others that start at the same time are there within some of these
 	meetMost  = time.Second           // an operator waits for a replaced voter no longer than needed
-	sayAfter  = 10 * time.Second      // it waits that long before it says so
+	sayAfter  = 3 * time.Second       // it waits that long before it says so
 )
 
 // meeting is what a voter with an empty disk has heard of the others.
