Core: reads and evidence moved beside it, free of clocks, so that virtual time plays them too

Waiting reads and the merging of digests stood in the running voter, where only real clocks reach them.

--- a/internal/cluster/voter/decide.go
+++ b/internal/cluster/voter/decide.go
@@ -10,22 +10,14 @@
 	"harrierhoist/internal/cluster/tables"
 )
 
-// pass tells the leader what was merged here: sums of what processes told this voter, and exact counts as they are. What
-// other voters passed on is left out, so that nothing goes round.
+// pass tells the leader what was merged here.
 func (k *desk) pass() {
 	s := k.core.Status()
 	if s.Leader == 0 || s.Leader == s.Number {
 		return
 	}
-	count, _ := k.disk.Life()
-	k.serial++
 	k.v.mu.Lock()
-	// A new leader has another session: what it is told first is where its counting begins.
-	all := []evidence.Digest{{Process: k.core.Self().Name, Incarnation: count, Serial: k.serial, Session: s.Term,
-		Counts: k.v.book.Sums()}}
-	if k.serial%exactEvery == 0 {
-		all = append(all, k.v.exact.Exact()...)
-	}
+	all := k.v.gather.Pass(s.Term)
 	k.v.mu.Unlock()
 	if m, ok, err := k.core.Evidence(all); ok && err == nil {
 		k.send(m.To, m.Body)
@@ -36,7 +28,7 @@
 func (v *Voter) seen(ctx context.Context) (s cluster.Seen, now time.Duration, ok bool) {
 	type answer struct {
 		sums  map[string]uint64
-		since time.Time
+		since time.Duration
 		ok    bool
 	}
 	got := make(chan answer, 1)
@@ -46,11 +38,8 @@
 			got <- answer{}
 			return
 		}
-		sums := k.peers.Sums()
 		v.mu.Lock()
-		for name, n := range v.book.Sums() {
-			sums[name] += n
-		}
+		sums := v.gather.Sums()
 		v.mu.Unlock()
 		got <- answer{sums, k.since, true}
 	}) != nil {
@@ -58,7 +47,7 @@
 	}
 	select {
 	case a := <-got:
-		s = cluster.Seen{Sums: a.sums, Since: a.since.Sub(began), Totals: func(table string) map[string]uint64 {
+		s = cluster.Seen{Sums: a.sums, Since: a.since, Totals: func(table string) map[string]uint64 {
 			return of(v, func(k *desk) map[string]uint64 { return k.core.State().Totals(table) })
 		}, Held: func(table string) tables.Entry {
 			return of(v, func(k *desk) tables.Entry { return k.core.State().Table(table) })
@@ -139,7 +128,7 @@
 func (v *Voter) raise(ctx context.Context, stand map[string]uint64) {
 	grown := map[string]uint64{}
 	v.mu.Lock()
-	for _, d := range v.exact.Exact() {
+	for _, d := range v.gather.Exact() {
 		for name, n := range d.Exact {
 			full := evidence.Name(d.Process, strconv.FormatUint(d.Incarnation, 10), name)
 			if n > stand[full] {
--- a/internal/cluster/voter/desk.go
+++ b/internal/cluster/voter/desk.go
@@ -10,7 +10,6 @@
 	"harrierhoist/internal/cluster"
 	"harrierhoist/internal/cluster/core"
 	"harrierhoist/internal/cluster/disk"
-	"harrierhoist/internal/cluster/evidence"
 )
 
 // desk owns the core, the disk's writes and all calls that wait. One goroutine works at it.
@@ -21,19 +20,16 @@
 	send    func(to cluster.Member, message []byte)
 	log     *zap.Logger
 	waits   map[uint64]chan core.Outcome // proposals and changes
-	readers map[*reader]bool
-	asked   confirmation
-	peers   *evidence.Book // sums of the other voters, while this one leads
-	leader  uint64         // as last said in the log
-	led     uint64         // the term that it leads in; 0: none
-	since   time.Time      // it leads
-	serial  uint64         // of digests to the leader
+	reads   *core.Reads
+	leader  uint64        // as last said in the log
+	led     uint64        // the term that it leads in; 0: none
+	since   time.Duration // it leads
 	refused map[string]bool
 }
 
 func newDesk(v *Voter, c *core.Core, d *disk.Disk, send func(cluster.Member, []byte), log *zap.Logger) *desk {
 	return &desk{v: v, core: c, disk: d, send: send, log: log, waits: map[uint64]chan core.Outcome{},
-		readers: map[*reader]bool{}, refused: map[string]bool{}}
+		reads: core.NewReads(c), refused: map[string]bool{}}
 }
 
 // run works until the voter is to end or its disk fails it. A voter that can't write is as good as dead to the others,
@@ -75,7 +71,7 @@
 	case <-clock:
 		k.more() // what came while the process slept or wrote counts before the time that passed
 		k.core.Tick()
-		k.ticked(time.Now())
+		k.reads.Tick(time.Since(began))
 	case <-pass:
 		k.pass()
 	}
@@ -149,15 +145,16 @@
 // stand notes who leads.
 func (k *desk) stand() {
 	s := k.core.Status()
-	k.v.mu.Lock()
-	k.v.status = s
-	k.v.mu.Unlock()
 	led := uint64(0)
 	if k.core.Leads() {
 		led = s.Term
 	}
+	k.v.mu.Lock()
+	k.v.status = s
+	k.v.gather.Lead(led)
+	k.v.mu.Unlock()
 	if led != k.led {
-		k.led, k.since, k.peers = led, time.Now(), evidence.NewBook()
+		k.led, k.since = led, time.Since(began)
 		for seq, done := range k.waits {
 			done <- core.Outcome{Err: cluster.ErrUnknown}
 			delete(k.waits, seq)
@@ -186,7 +183,7 @@
 			delete(k.waits, o.Seq)
 		}
 	}
-	k.confirmed(d)
+	k.reads.Done(d, time.Since(began))
 }
 
 // step takes a message. What is refused is said once for each reason, as it comes again with each message.
@@ -196,16 +193,9 @@
 		k.refused[err.Error()] = true
 		k.log.Warn("message of another voter", zap.Error(err))
 	}
-	for _, d := range digests {
-		if d.Counts != nil && k.led != 0 {
-			k.peers.Take(d)
-		}
-		if d.Exact != nil {
-			k.v.mu.Lock()
-			k.v.exact.Take(d)
-			k.v.mu.Unlock()
-		}
-	}
+	k.v.mu.Lock()
+	defer k.v.mu.Unlock()
+	k.v.gather.TakeOver(digests)
 	return err
 }
 
--- a/internal/cluster/voter/voter.go
+++ b/internal/cluster/voter/voter.go
@@ -25,14 +25,10 @@
 	tick = 25 * time.Millisecond
 	// passEvery is how often what was merged is told to the leader.
 	passEvery = 200 * time.Millisecond
-	// exactEvery is with how many of those exact counts go along: the log is told them once a second.
-	exactEvery = 5
 	// decideEvery is how often the deciders are asked.
 	decideEvery = 100 * time.Millisecond
 	// raiseEvery is how often exact counts go to the log, at most.
 	raiseEvery = time.Second
-	// confirmPatience is after how long a confirmation is asked for again: a heartbeat or its answer was lost.
-	confirmPatience = 4 * tick
 )
 
 // Sizes of a voter.
@@ -55,8 +51,7 @@
 	routines sync.WaitGroup
 
 	mu       sync.Mutex // of what follows
-	book     *evidence.Book
-	exact    *evidence.Book
+	gather   *core.Gather
 	deciders []cluster.Decider
 	status   cluster.Status
 }
@@ -91,7 +86,7 @@
 		log.Warn("spoilt copies in a voter's log, read from their doubles", zap.Int("frames", n))
 	}
 	v := &Voter{calls: make(chan func(*desk), inbox), end: make(chan struct{}), over: make(chan struct{}),
-		book: evidence.NewBook(), exact: evidence.NewBook(), deciders: deciders, status: c.Status()}
+		gather: core.NewGather(self.Name, count), deciders: deciders, status: c.Status()}
 	k := newDesk(v, c, d, send, log)
 	v.routines.Go(func() { k.run() })
 	v.routines.Go(func() { v.decide(fmt.Sprintf("%s/%d", self.Name, count)) })
@@ -175,20 +170,22 @@
 
 // Read implements cluster.Voter.
 func (v *Voter) Read(ctx context.Context, known map[string]uint64, wait time.Duration) (map[string]tables.Entry, error) {
-	r := &reader{known: known, until: time.Now().Add(wait), found: make(chan map[string]tables.Entry, 1)}
-	if err := v.ask(ctx, func(k *desk) { k.read(r) }); err != nil {
+	answer := make(chan map[string]tables.Entry, 1)
+	r := &core.Reader{Known: known, Until: time.Since(began) + wait,
+		Answer: func(found map[string]tables.Entry) { answer <- found }}
+	if err := v.ask(ctx, func(k *desk) { k.reads.Add(r, time.Since(began)) }); err != nil {
 		if errors.Is(err, cluster.ErrStopped) {
 			return nil, err
 		}
 		return nil, cluster.ErrNoQuorum
 	}
 	select {
-	case found := <-r.found:
+	case found := <-answer:
 		return found, nil
 	case <-v.over:
 		return nil, cluster.ErrStopped
 	case <-ctx.Done():
-		_ = v.ask(context.Background(), func(k *desk) { delete(k.readers, r) })
+		_ = v.ask(context.Background(), func(k *desk) { k.reads.Drop(r) })
 		return nil, cluster.ErrNoQuorum
 	}
 }
@@ -197,10 +194,7 @@
 func (v *Voter) Take(digests []evidence.Digest) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, d := range digests {
-		v.book.Take(d)
-		v.exact.Take(evidence.Digest{Process: d.Process, Incarnation: d.Incarnation, Serial: d.Serial, Exact: d.Exact})
-	}
+	v.gather.Take(digests)
 }
 
 // Status implements cluster.Voter.
