--- a/internal/cluster/core/core.go
+++ b/internal/cluster/core/core.go
@@ -10,6 +10,7 @@
 	"io"
 	"log"
 	"math/rand/v2"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3"
@@ -34,6 +35,8 @@
 	ErrSpoilt  = errors.New("what the disk holds does not fit together")
 	ErrChange  = errors.New("another change of the members is under way")
 	ErrRefused = errors.New("message refused")
+	// ErrOther: the number was given to another disk. One that was emptied needs a new number.
+	ErrOther = errors.New("this number belongs to another disk")
 )
 
 // Life is one start of a voter on its disk. Two lives of the same count on one mark mean that the disk was copied.
@@ -69,6 +72,12 @@
 	return m
 }()
 
+// quiet is the library's log: what the operators must know comes back as an error or stands in Status.
+var quiet = &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}
+
+// hush gives it to the library's store as well, which has one for all.
+var hush = sync.OnceFunc(func() { raft.SetLogger(quiet) })
+
 // Start makes a voter of what its disk holds. With none, first are the members that begin the log, and the host must
 // have Base written before anything else; without those either, it waits for a leader that adds it. What the disk
 // says of the voter's number goes before self. Errors: ErrSpoilt, or a number that is not among first.
@@ -78,6 +87,7 @@
 			c, err = nil, fmt.Errorf("%w: %v", ErrSpoilt, p)
 		}
 	}()
+	hush()
 	c = &Core{self: self, life: life, store: raft.NewMemoryStorage(), state: tables.New(), seq: life.Count << 32,
 		chance: rand.New(rand.NewPCG(seed, self.Number)), snaps: map[uint64]int{}, heard: map[uint64]sender{}}
 	if len(records) == 0 && len(first) > 0 {
@@ -92,9 +102,8 @@
 	if err := c.restore(snap); err != nil {
 		return nil, err
 	}
-	quiet := &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}
 	c.node, err = raft.NewRawNode(&raft.Config{ID: c.self.Number, ElectionTick: electionTicks,
-		HeartbeatTick: heartbeatTicks, Storage: c.store, Applied: c.applied, MaxSizePerMsg: messageBytes,
+		HeartbeatTick: heartbeatTicks, Storage: shelf{c.store, c}, Applied: c.applied, MaxSizePerMsg: messageBytes,
 		MaxUncommittedEntriesSize: uncommitted, MaxInflightMsgs: inflight, CheckQuorum: true, PreVote: true,
 		ReadOnlyOption: raft.ReadOnlySafe, Logger: quiet, DisableProposalForwarding: true, StepDownOnRemoval: true})
 	if err != nil {
--- a/internal/cluster/core/ready.go
+++ b/internal/cluster/core/ready.go
@@ -84,6 +84,9 @@
 		}
 	}
 	c.node.Advance(r.raft)
+	if m, ok := c.members.find(c.self.Number); ok && m.Disk != "" && m.Disk != c.self.Disk {
+		return d, fmt.Errorf("%w: number %d", ErrOther, m.Number)
+	}
 	return d, nil
 }
 
--- a/internal/cluster/core/record.go
+++ b/internal/cluster/core/record.go
@@ -110,6 +110,29 @@
 	return pack(&c.self, s, entries, h)
 }
 
+// shelf is what raft reads its log from. The snapshot that it sends to another voter is of what is applied now: one that
+// was made before a member joined does not name it, and the member would refuse it.
+type shelf struct {
+	*raft.MemoryStorage
+	c *Core
+}
+
+// Snapshot implements raft.Storage.
+func (s shelf) Snapshot() (*raftpb.Snapshot, error) {
+	data, err := s.c.picture()
+	index, term := s.c.applied, s.c.term
+	return &raftpb.Snapshot{Data: data, Metadata: &raftpb.SnapshotMetadata{ConfState: s.c.conf, Index: &index, Term: &term}}, err
+}
+
+// picture is all that the voters hold alike.
+func (c *Core) picture() ([]byte, error) {
+	state, err := c.state.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return mode.Marshal(picture{c.members, state})
+}
+
 // Compact makes a snapshot of what is applied and drops the entries before it, but for the latest keep: a voter that is
 // not further behind gets those, not all of it.
 func (c *Core) Compact(keep uint64) error {
@@ -117,11 +140,7 @@
 	if c.applied <= s.GetMetadata().GetIndex() {
 		return nil
 	}
-	state, err := c.state.Snapshot()
-	if err != nil {
-		return err
-	}
-	data, err := mode.Marshal(picture{c.members, state})
+	data, err := c.picture()
 	if err != nil {
 		return err
 	}
--- a/internal/cluster/play/check.go
+++ b/internal/cluster/play/check.go
@@ -28,6 +28,9 @@
 	},
 }
 
+// applyLag is how far a voter may be behind the leader at the end: what is on its way.
+const applyLag = 5
+
 // check looks at what can be told at the end only.
 func (w *world) check() {
 	for _, c := range w.clients {
@@ -47,9 +50,40 @@
 		switch {
 		case err != nil || e != nil:
 			w.problem("%v, %v", err, e)
+		case n.core.Applied()+applyLag < l.core.Applied():
+			w.problem("voter %d is at entry %d, the leader at %d", n.member.Number, n.core.Applied(), l.core.Applied())
 		case n.core.Applied() == l.core.Applied() && !bytes.Equal(got, want):
 			w.problem("voters %d and %d differ at the same entry", n.member.Number, l.member.Number)
 		}
 	}
 	w.report.Trace = w.trace.Sum64()
 }
+
+// watch checks what must hold at any moment.
+func (n *node) watch() {
+	if !n.up {
+		return
+	}
+	w := n.w
+	for e := n.core.State().Table(table).Epoch; w.top < e; {
+		w.top++
+		w.commits[w.top] = w.now
+	}
+	if !n.core.Leads() {
+		n.gather.Lead(0)
+		return
+	}
+	term := n.core.Status().Term
+	n.gather.Lead(term)
+	if was, ok := w.leads[term]; ok && was != n.member.Number {
+		w.problem("voters %d and %d both lead in term %d", was, n.member.Number, term)
+	}
+	w.leads[term] = n.member.Number
+	told := uint64(0)
+	for _, t := range w.teller {
+		told += t.count
+	}
+	if seen := n.gather.Sums()[counted]; seen > told {
+		w.problem("evidence counted twice at voter %d", n.member.Number)
+	}
+}
--- a/internal/cluster/voter/voter_test.go
+++ b/internal/cluster/voter/voter_test.go
@@ -161,3 +161,51 @@
 		t.Errorf("read: %v", err)
 	}
 }
+
+// A voter whose folder was emptied comes back under its old number: the others refuse it, it ends, and what was
+// acknowledged stands. Under a new number it joins and holds all.
+func TestEmptiedFolderNeedsANewNumber(t *testing.T) {
+	h, f := newHouse(t, 3), folders(t, 3)
+	h.open(f)
+	h.write(write(1, 0, "a"))
+	lead := h.leader().Status().Number
+	gone := lead%3 + 1
+	standin.Eventually(t, "marks of all disks", func() bool {
+		for _, m := range h.leader().Status().Members {
+			if m.Disk == "" {
+				return false
+			}
+		}
+		return true
+	})
+	h.kill(gone)
+	h.write(write(2, 1, "b"))
+	if err := h.start(gone, t.TempDir(), disk.Bare{}, h.first); err != nil {
+		t.Fatal(err)
+	}
+	h.mu.Lock()
+	emptied := h.voters[gone]
+	h.mu.Unlock()
+	if _, err := emptied.Read(within(t), nil, 0); !errors.Is(err, cluster.ErrStopped) {
+		t.Errorf("it goes on: %v", err)
+	}
+	h.kill(gone)
+	if err := h.start(4, t.TempDir(), disk.Bare{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		m      cluster.Member
+		remove bool
+	}{{member(gone), true}, {member(4), false}} {
+		standin.Eventually(t, "change of the members", func() bool { return h.leader().Change(within(t), c.m, c.remove) == nil })
+	}
+	got, err := h.voters[4].Read(within(t), nil, 0)
+	if err != nil || string(got["plan"].Value) != "b" {
+		t.Errorf("the new voter holds %v, %v", got, err)
+	}
+	old := h.leader()
+	old.Resign(within(t))
+	if next := h.leader(); next == old {
+		t.Error("the leader did not resign")
+	}
+}
