--- /dev/null
+++ b/internal/cluster/follow/held_test.go
@@ -0,0 +1,69 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"harrierhoist/internal/cluster/tables"
+)
+
+// What a process may act on until a time was the table's value at some moment no longer than a lease before that time,
+// and epochs never go back: whatever comes late, twice or in another order.
+func TestHeldIsNeverOlderThanItsLease(t *testing.T) {
+	const lease = 2 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		// The voters' history: at which second the table came to each epoch.
+		var written []time.Duration
+		at := time.Duration(0)
+		for range rapid.IntRange(0, 8).Draw(t, "writes") {
+			at += time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond
+			written = append(written, at)
+		}
+		epochAt := func(when time.Duration) (epoch uint64) {
+			for _, w := range written {
+				if w <= when {
+					epoch++
+				}
+			}
+			return epoch
+		}
+		type read struct {
+			known  map[string]uint64
+			answer map[string]tables.Entry
+			sent   time.Duration
+		}
+		s := newShelf()
+		var reads []read
+		highest := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "reads") {
+			sent := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "sent")) * time.Millisecond
+			seen := sent + time.Duration(rapid.IntRange(0, 500).Draw(t, "way"))*time.Millisecond // confirmed then
+			r := read{known: s.known(), sent: sent, answer: map[string]tables.Entry{}}
+			if e := epochAt(seen); e > r.known["plan"] {
+				r.answer["plan"] = tables.Entry{Epoch: e, Value: fmt.Append(nil, e)}
+			} else if e < r.known["plan"] {
+				continue // no voter confirms that it has less than was read before
+			}
+			reads = append(reads, r)
+			for range rapid.IntRange(0, 2).Draw(t, "arrivals") {
+				r := rapid.SampledFrom(reads).Draw(t, "which")
+				s.take(r.known, r.answer, r.sent+lease)
+				h := s.get("plan")
+				if h.Epoch < highest {
+					t.Fatalf("epoch %d after %d", h.Epoch, highest)
+				}
+				highest = h.Epoch
+				if h.Epoch > 0 && string(h.Value) != fmt.Sprint(h.Epoch) {
+					t.Fatalf("epoch %d has the value of %s", h.Epoch, h.Value)
+				}
+				// It was the value at some moment from the lease's beginning on.
+				if h.Until > 0 && epochAt(h.Until-lease) > h.Epoch {
+					t.Fatalf("epoch %d held until %v, and at %v it was %d", h.Epoch, h.Until, h.Until-lease, epochAt(h.Until-lease))
+				}
+			}
+		}
+	})
+}
