--- a/internal/commons/meet.go
+++ b/internal/commons/meet.go
@@ -62,6 +62,8 @@
 		switch {
 		case at >= 0 && s.Status.Members[at].Disk == self.Disk:
 			return verdict{begin: true}
+		case at >= 0 && s.Status.Members[at].Disk == "":
+			return verdict{why: "the voters began without having heard of this disk: it comes under a new number that replaces this one"}
 		case at >= 0:
 			return verdict{why: "the voters know this number with another disk: a lost disk comes back under a new number that replaces it"}
 		default:
