--- /dev/null
+++ b/cmd/harrierhoist/burden_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/cluster/evidence"
+	"harrierhoist/internal/cluster/follow"
+	"harrierhoist/internal/cluster/link"
+	"harrierhoist/internal/standin"
+)
+
+// counted is a voter at the end of a link whose calls are counted.
+type counted struct {
+	name, address  string
+	client         *link.Client
+	digests, reads *atomic.Int64
+}
+
+func (s counted) Name() string { return s.name }
+
+func (s counted) Tell(ctx context.Context, d evidence.Digest) error {
+	s.digests.Add(1)
+	return s.client.Digests(ctx, s.address, []evidence.Digest{d})
+}
+
+func (s counted) Read(ctx context.Context, known map[string]uint64, wait time.Duration) (follow.Answer, error) {
+	s.reads.Add(1)
+	found, group, err := s.client.Read(ctx, s.address, known, wait)
+	return follow.Answer{Tables: found, Group: group}, err
+}
+
+// used is what a process has used so far: CPU, and bytes that it read and wrote, on sockets and disk alike.
+func (c *club) used(name string) (cpu time.Duration, in, out int64) {
+	pid := c.running[name].Process.Pid
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	for _, at := range []int{11, 12} { // user and system time, in hundredths of a second
+		n, _ := strconv.ParseInt(fields[at], 10, 64)
+		cpu += time.Duration(n) * 10 * time.Millisecond
+	}
+	io, _ := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	_, _ = fmt.Sscanf(string(io), "rchar: %d\nwchar: %d", &in, &out)
+	return cpu, in, out
+}
+
+// Measures what followers cost the voters; BURDEN says how many, by commas. Its table is in docs/cluster.md.
+func TestBurden(t *testing.T) {
+	sizes := os.Getenv("BURDEN")
+	if sizes == "" {
+		t.Skip("a measurement: BURDEN=30,300,3000")
+	}
+	for size := range strings.SplitSeq(sizes, ",") {
+		n, _ := strconv.Atoi(size)
+		t.Run(size, func(t *testing.T) { burden(t, n) })
+	}
+}
+
+func burden(t *testing.T, n int) {
+	c := newClub(t, "v1", "v2", "v3")
+	c.voters = "connections = 8192\n" + c.voters // ends [process]
+	c.start("v1", "v2", "v3")
+	c.write("plan", 0, "0")
+	calls := map[string]*[2]atomic.Int64{}
+	for name := range c.address {
+		calls[name] = &[2]atomic.Int64{}
+	}
+	ctx, end := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer end()
+	var all []*follow.Follower
+	for i := range n {
+		process, client := fmt.Sprintf("g%d", i), link.NewClient(link.Plain{}, 2)
+		var voters []follow.Source
+		for _, name := range []string{"v1", "v2", "v3"} {
+			voters = append(voters, counted{name, c.address[name], client, &calls[name][0], &calls[name][1]})
+		}
+		f := follow.New(process, 1, follow.Order(process, voters),
+			follow.Timing{Lease: 2 * time.Second, DigestEvery: 200 * time.Millisecond}, follow.Boot, zap.NewNop())
+		var count atomic.Uint64
+		f.Witness(func(add func(string, uint64)) { // as many as a gateway that pushes to six halls has
+			for hall := range 6 {
+				for of := range 8 {
+					add(evidence.Name("push", "hall-a", fmt.Sprint("hall-", hall), fmt.Sprint("outcome-", of)), count.Add(1))
+				}
+			}
+		})
+		all = append(all, f)
+		running.Go(func() { f.Run(ctx); client.Close() })
+	}
+	holds := func(epoch uint64) int {
+		held := 0
+		for _, f := range all {
+			if h := f.Held("plan"); h.Epoch >= epoch && h.Until > f.Now() {
+				held++
+			}
+		}
+		return held
+	}
+	standin.Eventually(t, "all follow", func() bool { return holds(1) == n })
+	time.Sleep(2 * time.Second)
+	leader := c.leader()
+	type sample struct {
+		cpu            time.Duration
+		in, out        int64
+		digests, reads int64
+	}
+	look := func() map[string]sample {
+		at := map[string]sample{}
+		for name := range c.address {
+			cpu, in, out := c.used(name)
+			at[name] = sample{cpu, in, out, calls[name][0].Load(), calls[name][1].Load()}
+		}
+		return at
+	}
+	before, began := look(), time.Now()
+	const writes = 10
+	var half, last []time.Duration // from the write's answer until half, and all, of the followers hold it
+	lapsed := 0
+	for epoch := uint64(1); epoch <= writes; epoch++ {
+		c.write("plan", epoch, strings.Repeat("p", 4096))
+		wrote, next := time.Now(), time.Now().Add(time.Second)
+		for held, halfway := 0, false; held < n && time.Since(wrote) < 5*time.Second; {
+			if held = holds(epoch + 1); held*2 >= n && !halfway {
+				half, halfway = append(half, time.Since(wrote)), true
+			}
+			time.Sleep(time.Millisecond)
+		}
+		last = append(last, time.Since(wrote))
+		time.Sleep(time.Until(next))
+		lapsed += n - holds(1)
+	}
+	took := time.Since(began).Seconds()
+	after := look()
+	slices.Sort(half)
+	slices.Sort(last)
+	for _, name := range []string{"v1", "v2", "v3"} {
+		a, b := before[name], after[name]
+		t.Logf("%d followers: %s (leads: %v): %.0f digests/s, %.0f reads/s, %.0f kB/s in, %.0f kB/s out, %.1f%% of a core", n, name,
+			name == leader, float64(b.digests-a.digests)/took, float64(b.reads-a.reads)/took, float64(b.in-a.in)/took/1e3,
+			float64(b.out-a.out)/took/1e3, 100*(b.cpu-a.cpu).Seconds()/took)
+	}
+	t.Logf("%d followers: from a write's answer to half of them %v, to all %v (medians of %d); at the most %v; leases over: %d",
+		n, half[writes/2], last[writes/2], writes, last[writes-1], lapsed)
+	if lapsed > 0 || len(half) < writes {
+		t.Error("the fleet is too much for its voters")
+	}
+}
--- a/cmd/harrierhoist/common_test.go
+++ b/cmd/harrierhoist/common_test.go
@@ -185,6 +185,7 @@
 
 // What one process writes all hold, whoever leads; what was acknowledged outlives the end of all voters at once.
 func TestWhatIsWrittenIsHeldByAllAndOutlivesTheVoters(t *testing.T) {
+	t.Parallel()
 	c := newClub(t, "v1", "v2", "v3")
 	c.start("v1", "v2", "v3")
 	c.gateway("g1")
--- a/cmd/harrierhoist/voters_test.go
+++ b/cmd/harrierhoist/voters_test.go
@@ -32,6 +32,7 @@
 // A voter whose disk is lost must not come back as if it had never voted: its number is refused, and a new one takes
 // its place once the files say so.
 func TestLostDiskComesBackUnderANewNumberAlone(t *testing.T) {
+	t.Parallel()
 	c := newClub(t, "v1", "v2", "v3")
 	c.start("v1", "v2", "v3")
 	c.write("plan", 0, "one")
