Pool by weights of halls, the gate's witness and its hooks

Off (no weights, no witness) the part and the gate are as before. Shed is a lot at the gate, as the module would push to other halls what a plan leaves at a lost one.

--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -52,8 +52,10 @@
 	choices chan Choice
 	pushes  int
 	server  uint32
+	hall    int // of that server
 	at      time.Duration
 	giveUp  context.CancelFunc // of the push that is out
+	units   float64
 	over    bool
 }
 
@@ -65,7 +67,10 @@
 		g.hand(now, policy.ListWhole)
 	}
 	g.latest++
-	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
+	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units} // a push and what is final
+	if g.shed(e, t.Repeat) {
+		return e
+	}
 	g.errands[e.id] = e
 	g.module.Take(now, policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
 		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat})
@@ -80,6 +85,9 @@
 	now := e.g.enter()
 	defer e.g.leave()
 	e.giveUp()
+	if w := e.g.outside.Witness; w != nil {
+		w.Ended(now, e.hall, e.server, r.Outcome, now-e.at)
+	}
 	if r.Outcome == policy.Answered {
 		e.end()
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"harrierhoist/internal/pool"
+	"harrierhoist/internal/witness"
 	"harrierhoist/policy"
 )
 
@@ -26,6 +27,8 @@
 	// Kept is how long a connection to a server is kept after its latest push: the module is handed those servers
 	// that our pushes can keep open. At 0 it is handed all.
 	Kept time.Duration
+	// Witness is told what goes on by hall, under the gate's lock; nil: nobody is.
+	Witness *witness.Witness
 }
 
 // Gate owns the instance.
@@ -52,6 +55,9 @@
 	due    time.Duration // when the alarm rings; 0: never
 	watch  chan struct{}
 	report int // how many figures a load report has
+
+	countLimit time.Duration // a call to the counter that took longer is late
+	shedAway   time.Duration // how long who is shed is told to stay away
 }
 
 // call is a call to the counter.
@@ -69,7 +75,8 @@
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
 		errands: map[uint32]*Errand{}, servers: map[uint32]Server{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
 		pool:  pool.New(site.Me, site.Gateways, outside.Kept),
-		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
+		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1)}
+	g.sized(&site)
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
 	return g, err
@@ -85,11 +92,19 @@
 		return site, err
 	}
 	g.pool.Resize(site.Me, site.Gateways)
-	g.report = len(site.Reports)
+	g.sized(&site)
 	g.hand(now, policy.ListWhole)
 	return site, nil
 }
 
+// sized takes from settings what the gate itself goes by.
+func (g *Gate) sized(site *policy.Deployment) {
+	g.report, g.countLimit, g.shedAway = len(site.Reports), site.CountLimit, 0
+	if site.RetryAfter {
+		g.shedAway = min(shedAway, site.MaxRetryAfter)
+	}
+}
+
 // enter takes the lock and reads the clock.
 func (g *Gate) enter() time.Duration {
 	g.mu.Lock()
--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -17,7 +17,12 @@
 	e.pushes++
 	e.server, e.at = server, g.now()
 	g.pool.Pushed(e.at)
-	c := Choice{Verdict: Push, Server: g.servers[server], Until: g.start.Add(until - g.origin)}
+	to := g.servers[server]
+	e.hall = to.Listed.Hall
+	if w := g.outside.Witness; w != nil {
+		w.Pushed(e.at, e.hall, e.units, e.pushes == 1)
+	}
+	c := Choice{Verdict: Push, Server: to, Until: g.start.Add(until - g.origin)}
 	c.Wanted, e.giveUp = context.WithCancel(context.Background())
 	e.choices <- c
 }
@@ -48,8 +53,11 @@
 	c := &call{name: name, at: g.now()}
 	g.calls = append(g.calls, c)
 	g.outside.Count(name, units, keep, func(total float64, how policy.Outcome) {
-		g.enter()
+		now := g.enter()
 		defer g.leave()
+		if w := g.outside.Witness; w != nil {
+			w.Counted(how != policy.Answered || g.countLimit > 0 && now-c.at > g.countLimit)
+		}
 		g.counted(c, total, how)
 	})
 }
--- a/internal/gate/list.go
+++ b/internal/gate/list.go
@@ -65,6 +65,9 @@
 		s := g.servers[n]
 		all = append(all, pool.Server{Mark: s.mark, Listed: s.Listed})
 	}
+	if g.outside.Witness != nil {
+		g.told(now, all)
+	}
 	part, sharers := g.pool.Part(now, all)
 	if kind == policy.ListChanges {
 		kind = policy.ListWhole
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -65,6 +65,12 @@
 	look   time.Duration // of the latest measure
 	length int           // wanted when the part was last laid out; 0: not yet
 	all    int           // ready servers then
+
+	weights []float64 // by hall; nil: as the list has them
+	shed    float64   // the part of tasks that fits nowhere
+	short   float64   // the part of the weights whose hall has no server ready
+	turn    int64     // when the part was last laid out by weights
+	tasks   uint64    // asked about
 }
 
 // New makes the part of gateway number me, from 0, of so many. Kept is how long a connection is kept after its
@@ -115,6 +121,9 @@
 		return false
 	}
 	p.look = now
+	if p.weights != nil && p.turn != turn(now) {
+		return true
+	}
 	n := p.want(now, p.all)
 	return math.Abs(float64(n-p.length)) > slack*float64(p.length) || n == p.all && p.length < n
 }
@@ -131,27 +140,30 @@
 		}
 	}
 	p.length, p.look = p.want(now, p.all), now
-	if p.all == 0 {
+	if p.short = 0; p.all == 0 {
 		return nil, float64(p.gateways)
 	}
-	share := float64(p.length) / float64(p.all)
-	var places []int
-	for hall, ring := range halls {
-		places = append(places, p.arc(hall, ring, list, share)...)
-	}
-	slices.Sort(places)
-	for _, at := range places {
-		part = append(part, list[at].Listed)
+	if p.weights != nil {
+		part = p.shared(now, list, halls)
+	} else {
+		share := float64(p.length) / float64(p.all)
+		var places []int
+		for hall, ring := range halls {
+			places = append(places, p.arc(hall, ring, list, int(math.Ceil(share*float64(len(ring)))))...)
+		}
+		slices.Sort(places)
+		for _, at := range places {
+			part = append(part, list[at].Listed)
+		}
 	}
 	// Others' traffic is taken to be as ours: their parts are as long.
 	return part, max(float64(p.gateways)*float64(len(part))/float64(p.all), 1)
 }
 
-// arc cuts this gateway's arc out of a hall's ring. Cells stay together, as a receipted task can go again only
-// within one; their order, and that within them, is chance but the same at all gateways.
-func (p *Pool) arc(hall int, ring []int, list []Server, share float64) []int {
+// arc cuts this gateway's arc, so many servers, out of a hall's ring. Cells stay together, as a receipted task can go
+// again only within one; their order, and that within them, is chance but the same at all gateways.
+func (p *Pool) arc(hall int, ring []int, list []Server, length int) []int {
 	n := len(ring)
-	length := int(math.Ceil(share * float64(n)))
 	if length >= n {
 		return ring
 	}
--- a/internal/witness/names.go
+++ b/internal/witness/names.go
@@ -65,8 +65,7 @@
 // Ready names the milliseconds in which gateways anywhere had a hall's strength in a band.
 func Ready(hall string, band int) string { return evidence.Name("ready", hall, strconv.Itoa(band)) }
 
-// Strength names the sum of the strengths in that band: thousandths of a ready, warm server of power 1, times
-// milliseconds, over a thousand.
+// Strength names the sum of the strengths in that band: in ready, warm servers of power 1, times milliseconds.
 func Strength(hall string, band int) string {
 	return evidence.Name("strength", hall, strconv.Itoa(band))
 }
