--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -18,8 +18,7 @@
 type Plan struct {
 	// Rows are by the hall that tasks come in at the shares over the halls that they are pushed to: they sum to 1000.
 	Rows map[string]map[string]int `cbor:"1,keyasint"`
-	// Sound is by hall the part of its listed strength that answers, in thousandths: 0 is a hall lost. What a row
-	// leaves at a lost hall beyond its trial fits nowhere, and is shed.
+	// Sound is by hall the part of its listed strength that answers, in thousandths: 0 is a hall lost.
 	Sound map[string]int `cbor:"2,keyasint"`
 	// Alone are the shares that a hall may push elsewhere by its own evidence where it hears no plan and its own hall
 	// is lost. Those of all halls to one fit above what plans use there.
@@ -31,8 +30,9 @@
 	Resting []string `cbor:"5,keyasint"`
 	// Shut are the pairs of halls (from, to) whose link is held to be lost.
 	Shut [][2]string `cbor:"6,keyasint"`
-	// Trials are the shares in a row that try a hall or a link that is avoided.
-	Trials map[string]map[string]int `cbor:"7,keyasint"`
+	// Shed is what of a row's share of its own hall fits nowhere and is rejected at once, as that hall is lost or on its
+	// way back. At a hall that is merely full the module sheds, and this is 0.
+	Shed map[string]int `cbor:"7,keyasint"`
 	// Why says for operators, in words, what moved, by hall.
 	Why map[string]string `cbor:"8,keyasint"`
 }
@@ -66,28 +66,32 @@
 }
 
 // Part gives how a gateway in a hall acts on the plan. A hall that answers in part gets more of its servers handed over,
-// as the module sets those aside that don't.
-func (p *Plan) Part(hall string) Part { return p.part(hall, p.Rows[hall]) }
-
-func (p *Plan) part(hall string, row map[string]int) Part {
-	part := Part{Weights: map[string]float64{}}
+// as the module sets those aside that don't. A hall that the plan doesn't know serves near.
+func (p *Plan) Part(hall string) Part {
+	row := p.Rows[hall]
+	if len(row) == 0 {
+		return Part{Weights: map[string]float64{hall: 1}}
+	}
+	part := Part{Weights: map[string]float64{}, Shed: float64(p.Shed[hall]) / whole}
 	for _, to := range sorted(row) {
-		share, sound := float64(row[to])/whole, whole
-		if s, ok := p.Sound[to]; ok {
-			sound = s
+		share := float64(row[to]) / whole
+		if to == hall {
+			share -= part.Shed
 		}
-		if sound == 0 {
-			try := min(share, float64(p.Trials[hall][to])/whole)
-			part.Shed += share - try
-			share, sound = try, whole
+		if sound := p.Sound[to]; sound > 0 {
+			share *= whole / float64(sound)
 		}
 		if share > 0 {
-			part.Weights[to] = share * whole / float64(sound)
+			part.Weights[to] = share
 		}
 	}
 	return part
 }
 
+// aloneTrial is the part of tasks that tries the own hall, held to be lost, without a plan: as few as let a gateway see it
+// come back within its memory.
+const aloneTrial = 0.05
+
 // PartAlone gives how a gateway in a hall acts on the latest plan after its lease: near, by its own evidence alone. With
 // its own hall lost it pushes elsewhere what the plan has set apart for that, and sheds the rest. A nil plan has
 // set nothing apart.
@@ -95,15 +99,16 @@
 	if !lost {
 		return Part{Weights: map[string]float64{hall: 1}}
 	}
-	part := Part{Weights: map[string]float64{}, Shed: 1}
+	part := Part{Weights: map[string]float64{hall: aloneTrial}, Shed: 1 - aloneTrial}
 	if p == nil {
 		return part
 	}
-	for to, share := range p.Alone[hall] {
-		part.Weights[to] = float64(share) / whole
-	}
-	for _, to := range sorted(part.Weights) {
-		part.Shed = max(part.Shed-part.Weights[to], 0)
+	for _, to := range sorted(p.Alone[hall]) {
+		share := float64(p.Alone[hall][to]) / whole
+		if share = min(share, part.Shed); share > 0 && to != hall {
+			part.Weights[to] = share
+			part.Shed -= share
+		}
 	}
 	return part
 }
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -200,4 +200,3 @@
 	}
 	return sum
 }
-
