--- a/internal/failover/lay.go
+++ b/internal/failover/lay.go
@@ -13,8 +13,8 @@
 	fixed  [][]float64 // rows that stay; nil: those to be laid out
 	low    [][]float64 // of a row to be laid out: what stays where it is
 	high   [][]float64 // and what a pair may get at most
-	trial   []float64   // what tries the own hall, which is avoided
-	lift    []bool      // the own hall may get more than high before anything is left
+	trial  []float64   // what tries the own hall, which is avoided
+	lift   []bool      // the own hall may get more than high before anything is left
 	loads  []float64
 	spare  []float64 // by receiver: room above what old plans may still bring
 }
--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -38,7 +38,7 @@
 			}
 			row, over := thousandths(out[f], left[f], f)
 			if s.bears[f] > 0 && !s.shut[f][f] && k.loads[f] >= k.most*k.bears[f]*(1-rounding) {
-				over = 0 // the hall is full, no more: the module sheds
+				over = s.full(f, row[f]) // the hall is full, no more: the module sheds
 			}
 			if s.worth(f, row, over) {
 				rows[f], shed[f] = row, over
@@ -51,6 +51,14 @@
 	return rows, shed, moved
 }
 
+// full is what of a full hall's share of its own tasks is rejected at once all the same: what comes back by more than a step.
+func (s *situation) full(f, share int) int {
+	if s.cur == nil {
+		return 0
+	}
+	return max(share-int((s.share[f][f]+s.terms.Step)*whole), 0)
+}
+
 // task is what is to be laid out, with the rows that are not to move fixed.
 func (s *situation) task(moves []bool) *task {
 	n := len(s.halls)
@@ -59,7 +67,7 @@
 	for f := range n {
 		low, high := make([]float64, n), make([]float64, n)
 		k.trial[f] = s.trial(f) * s.demand[f]
-		k.lift[f] = s.cur == nil || s.must(f) || s.plan.Shed[s.halls[f]] == 0
+		k.lift[f] = s.cur == nil || s.plan.Shed[s.halls[f]] == 0
 		for t := range n {
 			is, flee := s.share[f][t]*s.demand[f], s.bad[f][t]
 			step := is + s.terms.Step*s.demand[f]
@@ -75,7 +83,7 @@
 			case flee: // a resting hall flees from what is bad, and nothing else changes
 				high[t] = is
 			case t == f:
-				low[t], high[t] = is, is
+				low[t], high[t] = is, step
 			default:
 				low[t], high[t] = is, math.Inf(1)
 			}
@@ -91,7 +99,10 @@
 	return k
 }
 
-// worth tells that a row is to move: it flees from what is lost, a trial begins, or enough of its tasks move.
+// fleeLeast is the thousandths of a hall's tasks that are worth a move from another hall that is pushed over.
+const fleeLeast = 5
+
+// worth tells that a row is to move: it flees from what is lost or pushed over, a trial begins, or enough tasks move.
 func (s *situation) worth(f int, row []int, shed int) bool {
 	if s.cur == nil {
 		return true
@@ -106,7 +117,7 @@
 				return true
 			}
 		}
-		if s.gone[f][t] && to < is-0.5 {
+		if s.gone[f][t] && to < is-0.5 || t != f && s.bad[f][t] && to < is-fleeLeast {
 			return true
 		}
 		most = max(most, math.Abs(to-is))
@@ -142,6 +153,9 @@
 	return p
 }
 
+// ordinary is why a row moves that flees from nothing.
+const ordinary = "nearer, or as room allows"
+
 // why says what moved a row.
 func (s *situation) why(f int) string {
 	var all []string
@@ -157,7 +171,7 @@
 		}
 	}
 	if len(all) == 0 {
-		return "nearer, or as room allows"
+		return ordinary
 	}
 	return strings.Join(all, ", ")
 }
