--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -120,6 +120,3 @@
 		}
 	}
 }
-
-// Near tells whether all of a hall's tasks stay there.
-func (p *Plan) Near(hall string) bool { return len(p.Rows[hall]) == 0 || p.Rows[hall][hall] == whole }
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -114,3 +116,21 @@
 }
 
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Halls are the halls with weight, in the order of their names.
+func (p Part) Halls() []string { return sorted(p.Weights) }
+
+// Near tells whether all of a hall's tasks stay there.
+func (p *Plan) Near(hall string) bool { return len(p.Rows[hall]) == 0 || p.Rows[hall][hall] == whole }
+
+// Says gives a hall's row in words, in thousandths.
+func (p *Plan) Says(hall string) string {
+	var all []string
+	for _, to := range sorted(p.Rows[hall]) {
+		all = append(all, fmt.Sprintf("%s %d", to, p.Rows[hall][to]))
+	}
+	if shed := p.Shed[hall]; shed > 0 {
+		all = append(all, fmt.Sprintf("shed %d of its own", shed))
+	}
+	return strings.Join(all, ", ")
+}
--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -63,9 +63,7 @@
 func (g *Gate) Admit(t Task) *Errand {
 	now := g.enter()
 	defer g.leave()
-	if g.pool.Due(now) {
-		g.hand(now, policy.ListWhole)
-	}
+	g.keep(now)
 	g.latest++
 	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units} // a push and what is final
 	if g.shed(e, t.Repeat) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,6 +56,9 @@
 	watch  chan struct{}
 	report int // how many figures a load report has
 
+	until time.Duration // when the steering ends that is in force
+	after *Steering     // what follows it; nil: it has no end
+
 	countLimit time.Duration // a call to the counter that took longer is late
 	shedAway   time.Duration // how long who is shed is told to stay away
 }
@@ -103,6 +106,9 @@
 	if site.RetryAfter {
 		g.shedAway = min(shedAway, site.MaxRetryAfter)
 	}
+	if g.outside.Witness != nil {
+		g.outside.Witness.Reshape(site)
+	}
 }
 
 // enter takes the lock and reads the clock.
--- a/internal/gate/steer.go
+++ b/internal/gate/steer.go
@@ -13,13 +13,41 @@
 // shedAway is how long a client whose task fits in no hall is told to stay away: about as long as a plan takes to change.
 const shedAway = time.Second
 
-// Steer has the module handed the servers of halls by weights, in the order of their numbers, and the part shed of tasks
-// rejected at once, from here on; nil weights: as the list has them. What is out goes on.
-func (g *Gate) Steer(weights []float64, shed float64) {
+// Steering is how the gate is steered.
+type Steering struct {
+	// Weights are by the number of a hall in what proportion its servers are handed to the module; nil: as the list has them.
+	Weights []float64
+	// Shed is the part of tasks that is rejected at once, 0 to 1.
+	Shed float64
+}
+
+// Steer has the gate steered so from here on for as long as a lease stands, and then the other way, at once with the next
+// task, whoever slept meanwhile. What is out goes on.
+func (g *Gate) Steer(by Steering, lease time.Duration, after Steering) {
 	now := g.enter()
 	defer g.leave()
-	g.pool.Steer(weights, shed)
-	if len(g.servers) > 0 {
+	g.until, g.after = now+lease, &after
+	if lease <= 0 {
+		g.after = nil
+		by = after
+	}
+	g.steer(now, by)
+}
+
+func (g *Gate) steer(now time.Duration, by Steering) {
+	if g.pool.Steer(by.Weights, by.Shed) && len(g.servers) > 0 {
+		g.hand(now, policy.ListWhole)
+	}
+}
+
+// keep keeps the part in line with the time: with the end of a lease, and with the rate of pushes.
+func (g *Gate) keep(now time.Duration) {
+	switch {
+	case g.after != nil && now >= g.until:
+		by := *g.after
+		g.after = nil
+		g.steer(now, by)
+	case g.pool.Due(now):
 		g.hand(now, policy.ListWhole)
 	}
 }
--- a/internal/pool/shares.go
+++ b/internal/pool/shares.go
@@ -21,9 +21,12 @@
 
 // Steer has the part laid out by weights from the next time on: by the number of a hall in what proportion its servers
 // are handed over; 0, or a hall beyond the list: none are. Nil: as the list has them. Shed is the part of tasks, 0 to 1,
-// that is to be rejected at once.
-func (p *Pool) Steer(weights []float64, shed float64) {
-	p.weights, p.shed = weights, min(max(shed, 0), 1)
+// that is to be rejected at once. It tells whether this changes anything.
+func (p *Pool) Steer(weights []float64, shed float64) bool {
+	shed = min(max(shed, 0), 1)
+	same := (weights == nil) == (p.weights == nil) && slices.Equal(weights, p.weights) && shed == p.shed
+	p.weights, p.shed = weights, shed
+	return !same
 }
 
 // Shed tells whether the next task is to be rejected at once: such a part of them as fits nowhere, or whose hall has no
--- a/internal/witness/digest.go
+++ b/internal/witness/digest.go
@@ -72,7 +72,7 @@
 	add(w.cameAs, uint64(w.came))
 	add(w.letAs, uint64(w.let))
 	add(w.callsWell, w.calls[0])
-	add(w.callsLateN, w.calls[1])
+	add(w.callsLate, w.calls[1])
 }
 
 // tell gives the counts of a hall that are not nought.
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -32,6 +32,7 @@
 	well = "well"
 	ill  = "ill"
 	full = "full"
+	late = "late"
 )
 
 // last is a server's latest outcome.
@@ -72,17 +73,18 @@
 	since     time.Duration // when our own hall began to look lost; 0: it does not
 	lost      bool
 
-	came, let             float64
-	calls                 [2]uint64 // well, late
-	time, cameAs, letAs   string
-	callsWell, callsLateN string
+	came, let            float64
+	calls                [2]uint64 // well, late
+	time, cameAs, letAs  string
+	callsWell, callsLate string
 }
 
 // New makes a witness of a gateway in the hall of that place in the list of halls.
 func New(halls []string, me int, site *policy.Deployment) *Witness {
 	own := halls[me]
-	w := &Witness{me: me, coldFrom: site.ColdFrom, warmAfter: site.WarmAfter, time: Time(own), cameAs: Came(own),
-		letAs: Let(own), callsWell: Count(own, well), callsLateN: Count(own, "late")}
+	w := &Witness{me: me, time: Time(own), cameAs: Came(own), letAs: Let(own), callsWell: Count(own, well),
+		callsLate: Count(own, late)}
+	w.Reshape(site)
 	for _, to := range halls {
 		h := &seen{known: map[uint32]last{}, pushedAs: Pushed(own, to), tookAs: Took(own, to)}
 		for q := range h.judgedAs {
@@ -99,6 +101,11 @@
 	return w
 }
 
+// Reshape takes how servers warm up from new settings.
+func (w *Witness) Reshape(site *policy.Deployment) {
+	w.coldFrom, w.warmAfter = site.ColdFrom, site.WarmAfter
+}
+
 func (w *Witness) hall(n int) *seen { return w.halls[min(max(n, 0), len(w.halls)-1)] }
 
 // Came takes that a task came in.
