--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -52,7 +52,7 @@
 	if e := seen.Held(Table); !d.begun || e.Epoch != d.epoch {
 		d.take(now, e)
 	}
-	if !d.looks.add(d.names.look(now, seen.Sums)) || !d.view.look(d.looks) {
+	if !d.looks.add(d.names.look(now, seen.Sums)) || !d.view.look(d.looks) || d.plan == nil && !d.view.settled() {
 		return nil, false
 	}
 	next := d.next(now)
@@ -105,9 +105,12 @@
 	return rows
 }
 
-// remember has a new leader hold to be lost what the plan that stands does, until it hears otherwise.
+// remember has a new leader begin with the demand that the plan was made for, and hold to be lost what it does, until it
+// hears otherwise.
 func (d *Decider) remember(now time.Duration, p *Plan) {
+	d.view.measured = true
 	for t, hall := range d.halls {
+		d.view.demand[t] = float64(p.Demand[hall]) / 1000
 		if sound, ok := p.Sound[hall]; ok && sound <= whole*witness.Ill/witness.Sound {
 			d.view.sound[t], d.view.aged[t] = sound*witness.Sound/whole, now
 		}
--- a/internal/failover/look.go
+++ b/internal/failover/look.go
@@ -10,6 +10,9 @@
 	// half is the length of each of the two spans, one after the other, that must both speak of a change before it
 	// counts: digests come in lumps, and a late one of one gateway, that holds much, lies in one of them alone.
 	half = 400 * time.Millisecond
+	// slow is the same for what is no loss: how much of a hall answers. A few failures by chance are forgotten in
+	// that time, and to be late there costs less.
+	slow = 1600 * time.Millisecond
 	// ticksLeast is the least time between two looks that are kept.
 	ticksLeast = 80 * time.Millisecond
 	// kept is how far back looks are kept: the rates of demand are the middle one of five spans.
@@ -18,7 +21,7 @@
 	rateSpan = 800 * time.Millisecond
 	rates    = 5
 	// enough is the part of a gateway's time that must be told to count it: digests are late and unevenly cut.
-	enough = 0.75
+	enough = 0.7
 )
 
 // names are the names of the counts that are looked at, made once.
@@ -105,7 +108,7 @@
 }
 
 // halves are the two spans that must agree, the older first, each by its two looks; false: not looked for that long yet.
-func (l looks) halves() (spans [2][2]*look, ok bool) {
+func (l looks) halves(half time.Duration) (spans [2][2]*look, ok bool) {
 	last := l[len(l)-1]
 	mid, first := l.before(half), l.before(2*half)
 	if mid == nil || first == nil || first.at >= mid.at {
--- a/internal/failover/next.go
+++ b/internal/failover/next.go
@@ -124,11 +124,12 @@
 		s.shut, s.share, s.before = append(s.shut, shut), append(s.share, share), append(s.before, before)
 	}
 	for f := range n {
+		d.view.easy[f] = load[f] < d.terms.UtilisationMost*s.bears[f] && (d.cur == nil || s.share[f][f] == 1)
 		bad, gone := make([]bool, n), make([]bool, n)
 		for t := range n {
 			if s.share[f][t] > 0 && (t != f || s.share[f][t] > s.trial(f)+rounding) {
 				gone[t] = s.bears[t] <= 0 || s.shut[f][t]
-				bad[t] = gone[t] || load[t] > s.fleeAt()*s.bears[t]
+				bad[t] = gone[t] || d.view.settled() && load[t] > s.fleeAt()*s.bears[t]
 			}
 		}
 		s.bad, s.gone = append(s.bad, bad), append(s.gone, gone)
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -37,6 +37,8 @@
 	Shed map[string]int `cbor:"7,keyasint"`
 	// Why says for operators, in words, what moved, by hall.
 	Why map[string]string `cbor:"8,keyasint"`
+	// Demand is by hall what it was made for, in thousandths of a unit a second: where a new leader begins.
+	Demand map[string]uint64 `cbor:"9,keyasint"`
 }
 
 var mode = func() cbor.EncMode {
--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -14,7 +14,7 @@
 
 // may tells that a hall's tasks may move for any reason. Those of a hall whose gateways tell nothing stay: nobody knows
 // what they do.
-func (s *situation) may(f int) bool { return s.view.heard[f] && s.rest[f] <= s.now }
+func (s *situation) may(f int) bool { return s.view.settled() && s.view.heard[f] && s.rest[f] <= s.now }
 
 // lay gives the rows of the next plan, what they shed and which of them moved. A row that it is not worth to move stays;
 // then the others are laid out anew around it.
@@ -128,7 +128,7 @@
 // write makes the plan of the rows.
 func (s *situation) write(rows [][]int, shed []int, moved []bool) *Plan {
 	p := &Plan{Rows: map[string]map[string]int{}, Sound: map[string]int{}, Shed: map[string]int{},
-		Alone: s.alone(), Why: map[string]string{}}
+		Alone: s.alone(), Why: map[string]string{}, Demand: map[string]uint64{}}
 	for f, from := range s.halls {
 		row := map[string]int{}
 		for t, to := range s.halls {
@@ -139,7 +139,7 @@
 				p.Shut = append(p.Shut, [2]string{from, to})
 			}
 		}
-		p.Rows[from] = row
+		p.Rows[from], p.Demand[from] = row, uint64(s.demand[f]*1000)
 		p.Sound[from] = int(math.Round(s.quarters[f] * whole / witness.Sound))
 		if shed[f] > 0 {
 			p.Shed[from] = shed[f]
--- a/internal/witness/digest.go
+++ b/internal/witness/digest.go
@@ -33,9 +33,12 @@
 	}
 	switch {
 	case known == 0:
+		clear(h.run)
 		return 0, false
-	case freshIll >= freshLeast && freshWell == 0:
+	case len(h.run) >= runLeast || freshIll >= freshLeast && freshWell == 0:
 		return Lost, true
+	case freshIll > 0 && freshWell == 0:
+		return Ill, true
 	}
 	return int(math.Round(Sound * float64(sound) / float64(known))), true
 }
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -13,14 +13,17 @@
 	// memory is how long the last outcome of a server counts: a few rounds of a gateway with few tasks, and of the
 	// pauses that the module leaves a failed server.
 	memory = 6 * time.Second
-	// fresh is how far back all outcomes must be ill to be a loss at once, whatever was well before.
-	fresh = 1500 * time.Millisecond
-	// freshLeast is how many servers must have failed by then: one is one server's trouble.
+	// runLeast is how many servers must have failed, with no answer of any between, to be a loss at once, whatever was
+	// well before; of a hall half of which is dead a gateway sees that now and then, but not most gateways at once.
+	runLeast = 3
+	// fresh is how far back nothing was well, for a server or two that failed to say as much: a gateway with few tasks.
+	// One is ill, two are a loss. What one gateway so takes for more than it is, others do not.
+	fresh      = time.Second
 	freshLeast = 2
 	// silenceLeast and silenceTimes say when no answer at all, with pushes out, is one ill outcome of the whole hall:
 	// so much time, and so many usual answer times.
 	silenceLeast = 500 * time.Millisecond
-	silenceTimes = 4.0
+	silenceTimes = 3.0
 	// usualOver is over how many answers the usual time is taken.
 	usualOver = 16.0
 	// lostAfter is how long a gateway's own hall must look lost before it goes by that alone.
@@ -44,6 +47,7 @@
 // seen is what a gateway knows of a hall.
 type seen struct {
 	known   map[uint32]last
+	run     map[uint32]bool // servers that failed since any answered
 	out     int
 	waiting time.Duration // since when no answer came with a push out; 0: none is waited for
 	usual   time.Duration // of answers
@@ -86,7 +90,7 @@
 		callsLate: Count(own, late)}
 	w.Reshape(site)
 	for _, to := range halls {
-		h := &seen{known: map[uint32]last{}, pushedAs: Pushed(own, to), tookAs: Took(own, to)}
+		h := &seen{known: map[uint32]last{}, run: map[uint32]bool{}, pushedAs: Pushed(own, to), tookAs: Took(own, to)}
 		for q := range h.judgedAs {
 			h.judgedAs[q] = Judged(own, to, q)
 		}
@@ -146,6 +150,11 @@
 	}
 	h.ended[said]++
 	h.known[server] = last{now, said != 1}
+	if said == 1 {
+		h.run[server] = true
+	} else {
+		clear(h.run)
+	}
 	if how != policy.Cancelled && how != policy.TimedOut {
 		if h.waiting = 0; h.out > 0 {
 			h.waiting = now
