--- a/internal/failover/judge.go
+++ b/internal/failover/judge.go
@@ -118,7 +118,9 @@
 		for t := range v.pair {
 			a, b := v.agreed(spans[0][0], spans[0][1], f, t), v.agreed(spans[1][0], spans[1][1], f, t)
 			if max(a, b) > witness.Ill && far {
-				a, b = v.agreed(long[0][0], long[0][1], f, t), v.agreed(long[1][0], long[1][1], f, t)
+				if x, y := v.agreed(long[0][0], long[0][1], f, t), v.agreed(long[1][0], long[1][1], f, t); min(x, y) >= 0 {
+					a, b = x, y
+				}
 			}
 			if a < 0 || b < 0 {
 				if v.pairAged[f][t]+agedOver*v.terms.stay() < now {
--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -37,8 +36,9 @@
 				continue
 			}
 			row, over := thousandths(out[f], left[f], f)
-			if s.bears[f] > 0 && !s.shut[f][f] && k.loads[f] >= k.most*k.bears[f]*(1-rounding) {
-				over = s.full(f, row[f]) // the hall is full, no more: the module sheds
+			others := k.loads[f] - out[f][f]
+			if s.bears[f] > 0 && !s.shut[f][f] && k.loads[f] >= k.most*k.bears[f]*(1-rounding) && others < tinyDemand {
+				over = s.full(f, row[f]) // the hall is full, no more, and of its own tasks alone: the module sheds
 			}
 			if s.worth(f, row, over) {
 				rows[f], shed[f] = row, over
@@ -163,7 +163,7 @@
 		switch {
 		case !s.bad[f][t]:
 		case s.shut[f][t]:
-			all = append(all, fmt.Sprintf("the link to %s is lost", to))
+			all = append(all, to+" is out of reach, though not of others")
 		case s.bears[t] <= 0:
 			all = append(all, to+" is lost")
 		default:
