--- a/internal/failover/next.go
+++ b/internal/failover/next.go
@@ -42,8 +42,7 @@
 	if any {
 		p.Before = s.old()
 	} else if d.plan != nil {
-		p.Before = d.plan.Before
-		if now >= d.until {
+		if p.Before = d.plan.Before; now >= d.until && len(resting) == 0 {
 			p.Before = nil
 		}
 	}
@@ -60,7 +59,7 @@
 	if s.now < s.wrote+s.lease {
 		return false
 	}
-	if len(p.Resting) < len(old.Resting) || p.Before == nil && old.Before != nil || !slices.Equal(p.Shut, old.Shut) {
+	if len(p.Resting) == 0 && (len(old.Resting) > 0 || old.Before != nil) || !slices.Equal(p.Shut, old.Shut) {
 		return true
 	}
 	for _, h := range s.halls {
