--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"time"
+
+	"harrierhoist/internal/failover"
 )
 
 // Charter is the file. Times are written as "200ms" or "2s".
@@ -15,7 +17,7 @@
 
 	// The parts, each a table with its terms; one that is left out is off. A part adds one line here, and its
 	// terms have a method Check() []error whose errors name the key and what is allowed.
-	//   PLACE failover: Failover *failover.Terms `toml:"failover"`
+	Failover *failover.Terms `toml:"failover"`
 	//   PLACE counting: Counting *counting.Terms `toml:"counting"`
 	//   PLACE debts:    Debts *debts.Terms `toml:"debts"`
 }
@@ -83,7 +85,9 @@
 // Terms are the parts' own tables that the file has, by the table's name.
 func (c *Charter) Terms() map[string]interface{ Check() []error } {
 	terms := map[string]interface{ Check() []error }{}
-	//   PLACE failover: if c.Failover != nil { terms["failover"] = c.Failover }
+	if c.Failover != nil {
+		terms["failover"] = c.Failover
+	}
 	//   PLACE counting: if c.Counting != nil { terms["counting"] = c.Counting }
 	//   PLACE debts:    if c.Debts != nil { terms["debts"] = c.Debts }
 	return terms
--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -9,10 +9,14 @@
 
 	"go.uber.org/zap"
 
+	"harrierhoist/internal/boot"
 	"harrierhoist/internal/charter"
 	"harrierhoist/internal/cluster"
 	"harrierhoist/internal/commons"
+	"harrierhoist/internal/failover"
 	"harrierhoist/internal/gate"
+	"harrierhoist/internal/steer"
+	"harrierhoist/internal/witness"
 )
 
 // common is this gateway's part in what processes hold in common; nil where no charter is named.
@@ -34,19 +38,31 @@
 
 // deciders are those that run where a voter leads, by what the charter says. Each part adds one line.
 func deciders(c *charter.Charter) (all []cluster.Decider) {
-	//   PLACE failover: if c.Failover != nil { all = append(all, failover.New(*c.Failover)) }
+	if c.Failover != nil && c.Failover.On {
+		all = append(all, failover.New(*c.Failover, c.Timing.Lease.Duration))
+	}
 	//   PLACE counting: if c.Counting != nil { all = append(all, canary.New(*c.Counting)) }
 	//   PLACE debts:    if c.Debts != nil { all = append(all, debts.New(*c.Debts)) }
 	return all
 }
 
+// witness is what the parts that are on have the gate tell what it sees; nil: none.
+func (c *common) witness(told *boot.Handed) *witness.Witness {
+	if c == nil || c.process.Charter().Failover == nil || !c.process.Charter().Failover.On {
+		return nil
+	}
+	return witness.New(told.Halls, told.Deployment.MyHall, &told.Deployment)
+}
+
 // parts has the gateway act on what is held in common. Each part adds one line.
-func (c *common) parts(ctx context.Context, g *gate.Gate, log *zap.Logger) {
+func (c *common) parts(ctx context.Context, g *gate.Gate, halls []string, hall int, log *zap.Logger) {
 	if c == nil {
 		return
 	}
-	// held, terms := c.process.Commons(), c.process.Charter()
-	//   PLACE failover: if terms.Failover != nil { go steer.New(...).Run(ctx, held, g) }
+	held, terms := c.process.Commons(), c.process.Charter()
+	if terms.Failover != nil && terms.Failover.On {
+		go steer.New(held, g, halls, halls[hall], log).Run(ctx)
+	}
 	//   PLACE counting: if terms.Counting != nil { go ...Run(ctx, held, g) }
 	//   PLACE debts:    if terms.Debts != nil { go ...Run(ctx, held, g) }
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,12 @@
 			in.count.Load().Add(name, units, keep, heard) // settings with a counter come into force once there is one
 		}}
 	in.moveCounter(told)
+	common, err := join(charter, log)
+	if err != nil {
+		return err
+	}
+	defer common.close()
+	outside.Witness = common.witness(told)
 	g, err := gate.New(*site, told.Seed, outside, log)
 	if err != nil {
 		return err
@@ -74,13 +80,7 @@
 	if err != nil {
 		return err
 	}
-	common, err := join(charter, log)
-	if err != nil {
-		_ = listener.Close()
-		return err
-	}
-	defer common.close()
-	common.parts(ctx, g, log)
+	common.parts(ctx, g, told.Halls, site.MyHall, log)
 	go g.Tick(ctx)
 	go list.Watch(ctx)
 	go servers.Sweep(ctx)
--- a/internal/drill/ledger.go
+++ b/internal/drill/ledger.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -26,6 +27,7 @@
 type Pushed struct {
 	ID, Server, Hall, Customer string
 
+	From  string // the hall that it came in at, where the story gives each its own customers
 	Lane  string
 	Units float64
 	At    time.Time
@@ -34,6 +36,8 @@
 
 // Ledger is what servers and clients saw.
 type Ledger struct {
+	Halls []string // by number, as customers tell theirs: see Customer
+
 	mu     sync.Mutex
 	pushes []Pushed
 	ends   map[string]Final
@@ -44,11 +48,20 @@
 // NewLedger makes an empty one.
 func NewLedger() *Ledger { return &Ledger{ends: map[string]Final{}} }
 
+// hallBits is where in a customer's number the number of its hall stands.
+const hallBits = 24
+
+// Customer is the number of a customer whose tasks come in at the hall of a number.
+func Customer(hall int, n uint64) uint64 { return uint64(hall)<<hallBits | n }
+
 // Came tells of a push that a server took, and gives its place.
 func (l *Ledger) Came(p Pushed) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p.At = time.Now()
+	if n, err := strconv.ParseUint(p.Customer, 16, 64); err == nil && n>>hallBits < uint64(len(l.Halls)) {
+		p.From = l.Halls[n>>hallBits]
+	}
 	l.pushes = append(l.pushes, p)
 	return len(l.pushes) - 1
 }
@@ -89,6 +102,18 @@
 	return halls
 }
 
+// Flow gives the pushes that came after a time, by the halls that their tasks came in at and were pushed to. The hall that
+// a task came in at is told by its customer.
+func (l *Ledger) Flow(from time.Time) map[[2]string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	flow := map[[2]string]int{}
+	for i := len(l.pushes) - 1; i >= 0 && l.pushes[i].At.After(from); i-- {
+		flow[[2]string{l.pushes[i].From, l.pushes[i].Hall}]++
+	}
+	return flow
+}
+
 // Pushes are all pushes so far.
 func (l *Ledger) Pushes() []Pushed {
 	l.mu.Lock()
--- a/internal/drill/plain_test.go
+++ b/internal/drill/plain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -33,19 +34,22 @@
 	return New(t, program, Shape{Halls: []string{"hall-a", "hall-b", "hall-c"}, Servers: 4, Gateways: 2, Takes: 5 * time.Millisecond, Most: 8})
 }
 
-func mixed(r *rand.Rand) Task {
-	t := Task{Lane: "look", Plan: "wide", Customer: r.Uint64N(50), Units: 1 + r.IntN(3), Patience: 2 * time.Second}
-	if r.IntN(5) == 0 {
-		t.Lane = "pay"
+// mixed gives tasks of customers of a hall's own: one in five is effectful.
+func mixed(hall int) func(*rand.Rand) Task {
+	return func(r *rand.Rand) Task {
+		t := Task{Lane: "look", Plan: "wide", Customer: Customer(hall, r.Uint64N(50)), Units: 1 + r.IntN(3), Patience: 2 * time.Second}
+		if r.IntN(5) == 0 {
+			t.Lane = "pay"
+		}
+		return t
 	}
-	return t
 }
 
 // offer has clients ask all gateways until the function given back is called, which waits for the answers.
 func (w *World) offer(rate float64) (end func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	for i, g := range w.Gateways {
-		w.Clients.Offer(ctx, g.Addr, rate, uint64(i), mixed)
+		w.Clients.Offer(ctx, g.Addr, rate, uint64(i), mixed(slices.Index(w.Halls, g.Hall)))
 	}
 	return func() { cancel(); w.Clients.Wait() }
 }
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,6 +56,7 @@
 func New(t *testing.T, program string, s Shape) *World {
 	t.Helper()
 	w := &World{T: t, Folder: t.TempDir(), Program: program, Halls: s.Halls, Ledger: NewLedger()}
+	w.Ledger.Halls = s.Halls
 	must(t, func() (err error) { w.Counter, err = NewCounter(); return err }())
 	must(t, func() (err error) { w.Discovery, err = NewDiscovery(); return err }())
 	w.Clients = NewClients(w.Ledger, w.owes)
@@ -198,6 +200,27 @@
 	return all
 }
 
+// blind has a gateway find the servers of a hall at an address where nobody answers; all others find them where they are.
+// Its own discovery tells it, so that the others' sees nothing of it.
+func (w *World) blind(g *Gateway, hall string) {
+	w.T.Helper()
+	d, err := NewDiscovery()
+	must(w.T, err)
+	w.T.Cleanup(d.Close)
+	nobody := Free(w.T)
+	for _, s := range w.Servers {
+		is := Server{Name: s.Name, Hall: s.Hall, Addr: s.Addr}
+		if s.Hall == hall {
+			is.Addr = nobody
+		}
+		d.Tell(&is, "in_service", time.Time{})
+	}
+	text, err := os.ReadFile(g.Config)
+	must(w.T, err)
+	must(w.T, os.WriteFile(g.Config, bytes.Replace(text, []byte(w.Discovery.Addr), []byte(d.Addr), 1), 0o600))
+	g.Signal(syscall.SIGHUP)
+}
+
 // Become changes the mood of all servers of a hall; those that come back to life are listed as just started.
 func (w *World) Become(hall string, m Mood) {
 	w.T.Helper()
