Counting rules: terms, keys, the table of the rule in force, the gate's hook

Need: a task is to fall under a count that a rule in a version names, with rule 0 exactly as today. A rule gives the module another number in the customer's place, units times weight and a plan of its own; policy is untouched. The gate asks for a count only where counting is on (one nil check else).

--- /dev/null
+++ b/internal/counting/table.go
@@ -0,0 +1,103 @@
+package counting
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Name is that of the table.
+const Name = "counting"
+
+// Phase is what the table's decider is about.
+type Phase uint8
+
+// The phases, in their order; Back leads to Still.
+const (
+	Still  Phase = iota // nothing is tried: From holds
+	Canary              // To is played beside From and touches nothing
+	Named               // To holds from Edge on, and is watched
+	Back                // undone: To is the earlier rule again, from Edge on
+)
+
+// Table is the committed value. Times are on the clock that windows go by, which all processes share.
+type Table struct {
+	Phase Phase         `cbor:"1,keyasint"`
+	From  uint64        `cbor:"2,keyasint"` // the version in force before Edge
+	To    uint64        `cbor:"3,keyasint"` // the version after it; in a canary the one that is tried
+	Edge  time.Duration `cbor:"4,keyasint"`
+	Rules []Rule        `cbor:"5,keyasint"` // all versions that From, To and Was may name
+	Was   uint64        `cbor:"6,keyasint"` // the version before From: it needs no trial
+	Seed  uint64        `cbor:"7,keyasint"` // of the sample
+	Since time.Duration `cbor:"8,keyasint"` // when the phase began
+	// Refused are the versions that were refused or undone; none is tried again.
+	Refused []uint64 `cbor:"9,keyasint"`
+	Why     string   `cbor:"10,keyasint"` // of the latest step, for people
+	// Test is the decider's own; processes do not read it.
+	Test []byte `cbor:"11,keyasint"`
+}
+
+// Decode reads a value; nothing written stands for rule 0 in peace.
+func Decode(value []byte) (t Table, err error) {
+	if len(value) > 0 {
+		err = cbor.Unmarshal(value, &t)
+	}
+	return t, err
+}
+
+// Encode writes it.
+func (t Table) Encode() []byte {
+	b, err := cbor.Marshal(t)
+	if err != nil {
+		panic(err) // plain numbers and words
+	}
+	return b
+}
+
+// Rule gives a version's rule.
+func (t *Table) Rule(version uint64) (Rule, bool) {
+	i := slices.IndexFunc(t.Rules, func(r Rule) bool { return r.Version == version })
+	if version == 0 || i < 0 {
+		return Rule{}, version == 0
+	}
+	return t.Rules[i], true
+}
+
+// InForce is the version that the table says holds at a time.
+func (t *Table) InForce(at time.Duration) uint64 {
+	if t.Phase == Named || t.Phase == Back {
+		if at >= t.Edge {
+			return t.To
+		}
+	}
+	return t.From
+}
+
+// Standing gives the versions that a task taken at a time has to pass, the one that the module counts it by first.
+//
+// While the lease stands the table is right: whatever was committed since the read that the lease counts from has its
+// edge later than the lease's end. Past the lease another rule may have come into force, so a task passes only what
+// all of them allow that may. It guards the limits of the new rule's counts against a process that is cut off or
+// asleep. Harm: such a process rejects what one of the rules would have let in, and asks the counter more than once.
+// file is the process's own: it names the rules that may have come since, where the table names none.
+func (t *Table) Standing(at time.Duration, held, heard bool, file *Terms) []uint64 {
+	all := []uint64{t.InForce(at)}
+	moved := t.Phase == Named || t.Phase == Back
+	switch {
+	case held || moved && at < t.Edge: // no switch is taken back before its edge
+		return all
+	case !heard:
+		for _, r := range file.Rules {
+			all = append(all, r.Version)
+		}
+	case t.Phase != Still:
+		all = append(all, t.From, t.To)
+	}
+	if !slices.Contains(t.Refused, file.Try) {
+		all = append(all, file.Try)
+	}
+	slices.Sort(all[1:])
+	first := all[0]
+	return append([]uint64{first}, slices.DeleteFunc(slices.Compact(all[1:]), func(v uint64) bool { return v == first })...)
+}
--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -55,6 +55,7 @@
 	at      time.Duration
 	giveUp  context.CancelFunc // of the push that is out
 	over    bool
+	counted *Counted // nil: under its customer alone
 }
 
 // Admit takes a task. It is carried by calling Pick until that is final.
@@ -67,8 +68,13 @@
 	g.latest++
 	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
 	g.errands[e.id] = e
-	g.module.Take(now, policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
-		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat})
+	task := policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
+		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat}
+	if g.counting != nil {
+		g.byRule(now, e, t, task)
+		return e
+	}
+	g.module.Take(now, task)
 	return e
 }
 
@@ -80,6 +86,9 @@
 	now := e.g.enter()
 	defer e.g.leave()
 	e.giveUp()
+	if e.counted != nil {
+		r = e.counted.weigh(r)
+	}
 	if r.Outcome == policy.Answered {
 		e.end()
 	}
@@ -100,6 +109,9 @@
 func (e *Errand) end() {
 	e.over = true
 	delete(e.g.errands, e.id)
+	if e.counted != nil && e.counted.Over != nil {
+		e.counted.Over(e.pushes > 0, e.counted.billed)
+	}
 }
 
 func (e *Errand) close(c Choice) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -52,6 +52,8 @@
 	due    time.Duration // when the alarm rings; 0: never
 	watch  chan struct{}
 	report int // how many figures a load report has
+
+	counting Counting // nil: every task counts under its customer
 }
 
 // call is a call to the counter.
@@ -80,12 +82,22 @@
 func (g *Gate) Reshape(site policy.Deployment) (policy.Deployment, error) {
 	now := g.enter()
 	defer g.leave()
+	return g.reshape(now, site)
+}
+
+func (g *Gate) reshape(now time.Duration, site policy.Deployment) (policy.Deployment, error) {
+	if g.counting != nil {
+		site = g.counting.Plans(site)
+	}
 	site, err := g.module.Reshape(now, site)
 	if err != nil {
 		return site, err
 	}
 	g.pool.Resize(site.Me, site.Gateways)
 	g.report = len(site.Reports)
+	if g.counting != nil {
+		g.counting.Shaped(site)
+	}
 	g.hand(now, policy.ListWhole)
 	return site, nil
 }
