Canary: sample of whole keys, shadow play, verdict by betting, decider of the table

Need: a new counting rule is to be tried beside the old one with no effect on a task, and judged at any time of looking with a stated chance of error. Sums of cells (keys by hash) are the numbers that are bet on, each cell once; the trial's state stands in the table, so a new leader goes on.

--- /dev/null
+++ b/internal/canary/bet.go
@@ -0,0 +1,54 @@
+package canary
+
+import "math"
+
+// Bet is a test whether the mean of numbers in [0, 1] is below a bound or above it, that may be looked at after each
+// of them: by betting, after Waudby-Smith and Ramdas, "Estimating means of bounded random variables by betting"
+// (J. R. Stat. Soc. B, 2024), and Howard, Ramdas, McAuliffe and Sekhon, "Time-uniform, nonparametric, nonasymptotic
+// confidence sequences" (Ann. Stat., 2021).
+//
+// Wealth starts at 1 and is multiplied by 1 + s (m - x) for a number x, with a stake s of at most 1/(1 - m). Where the
+// mean of each x given those before is m or more, the wealth is a supermartingale: by Ville's inequality the chance
+// that it ever reaches 1/a is at most a, however often it is looked at. So is the mean of several wealths with fixed
+// stakes, which saves choosing one. The other side bets the other way. Set side by side for every m, these tests are a
+// confidence sequence for the mean; here the two at the bound are all that is asked.
+type Bet struct {
+	Below [stakes]float64 `cbor:"1,keyasint"` // logarithms of the wealth that bets on a mean below the bound
+	Above [stakes]float64 `cbor:"2,keyasint"`
+	N     int             `cbor:"3,keyasint"` // numbers so far
+	Sum   float64         `cbor:"4,keyasint"` // of them
+}
+
+// stakes are so many parts of the highest stake, each half of the one before: bounds from 1% to half, whatever the spread.
+const stakes = 8
+
+// stakeMost is the part of the highest stake that is bet: all of it can lose everything at one number.
+const stakeMost = 0.95
+
+// Take takes a number against the bound m, 0 < m < 1.
+func (b *Bet) Take(x, m float64) {
+	x = min(max(x, 0), 1)
+	b.N++
+	b.Sum += x
+	for i := range stakes {
+		part := stakeMost / float64(int(1)<<i)
+		b.Below[i] += math.Log1p(part / (1 - m) * (m - x))
+		b.Above[i] += math.Log1p(part / m * (x - m))
+	}
+}
+
+// Mean is that of the numbers so far.
+func (b *Bet) Mean() float64 { return b.Sum / float64(max(b.N, 1)) }
+
+// Harmless tells that the mean is below the bound, wrong with a chance of at most a; Harmful that it is above.
+func (b *Bet) Harmless(a float64) bool { return wealth(b.Below[:]) >= 1/a }
+
+// Harmful is the other side.
+func (b *Bet) Harmful(a float64) bool { return wealth(b.Above[:]) >= 1/a }
+
+func wealth(logs []float64) (mean float64) {
+	for _, l := range logs {
+		mean += math.Exp(min(l, 600)) / float64(len(logs))
+	}
+	return mean
+}
--- /dev/null
+++ b/internal/canary/play.go
@@ -0,0 +1,236 @@
+package canary
+
+import (
+	"time"
+
+	"harrierhoist/internal/counting"
+	"harrierhoist/policy"
+)
+
+const (
+	budgetMost = 16.0             // calls saved up: a burst of a lane's tasks, not an hour's
+	flushAfter = time.Second      // units let in that no later task of their key brings to the counter go alone
+	forgetIn   = 60 * time.Second // a key not seen so long has no window left at the counter
+	booksMost  = 50_000           // keys a side that a process remembers; more are not played
+)
+
+// Call is a call to the counter that a play asks for. Its answer goes to Told.
+type Call struct {
+	Name  uint64
+	Units float64
+	Keep  time.Duration
+	ID    uint64
+}
+
+// Play plays the old rule (side 0) and the new one (side 1) on the tasks of the sample, both by the same plain desk and
+// by counts of their own, so that what differs is the rules' doing. Not safe for use by several goroutines at once.
+type Play struct {
+	*Tallies
+	sample *Sample
+	sides  [2]side
+	plans  []policy.Plan
+	share  float64 // of a call that each call of the gateway earns
+	budget float64
+	calls  map[uint64]asked
+	latest uint64
+	swept  time.Duration
+}
+
+type side struct {
+	rule  *counting.Fitted
+	books map[uint64]*book
+}
+
+// book is a key as one side sees it.
+type book struct {
+	key     uint64
+	plan    policy.Plan
+	window  counting.Window
+	at      time.Duration // of the latest total
+	room    float64       // then
+	pending float64       // let in and not yet brought to the counter
+	due     time.Duration // when that goes alone; 0: nothing does
+	used    time.Duration
+}
+
+// asked is a call that is out.
+type asked struct {
+	side   int
+	book   *book
+	window counting.Window
+	at     time.Duration
+	sum    float64
+	try    *try // nil: it brought units alone
+}
+
+// try is one task on both sides.
+type try struct {
+	task   Task
+	open   int // sides that wait for a total
+	letIn  [2]bool
+	beyond float64
+	blind  bool
+}
+
+// Task is a task as the play sees it.
+type Task struct {
+	Customer   uint64
+	Lane, Plan int
+	Units      float64
+}
+
+// NewPlay begins a play. Salt is the canary's own: names made with it are no rule's. Calls is the share of the
+// gateway's calls that may be spent, in thousandths.
+func NewPlay(s *Sample, old, next *counting.Fitted, site policy.Deployment, salt, calls uint64) *Play {
+	p := &Play{Tallies: newTallies(salt, site), sample: s, plans: site.Plans, share: float64(calls) / 1000, calls: map[uint64]asked{}}
+	for i, r := range []*counting.Fitted{old, next} {
+		p.sides[i] = side{r, map[uint64]*book{}}
+	}
+	return p
+}
+
+// Earn takes word of n calls that the gateway made for its tasks.
+func (p *Play) Earn(n uint64) { p.budget = min(p.budget+p.share*float64(n), budgetMost) }
+
+// Played tells whether a customer is in the sample.
+func (p *Play) Played(customer uint64) bool {
+	_, in := p.sample.Cell(customer)
+	return in
+}
+
+// Take plays a task, if it is in the sample, and gives the calls to be made for it.
+func (p *Play) Take(now time.Duration, t Task) (calls []Call) {
+	if !p.Played(t.Customer) || p.plans[t.Plan].Rate <= 0 {
+		return nil
+	}
+	var books [2]*book
+	var keys [2]uint64
+	for i := range p.sides {
+		c := p.sides[i].rule.Count(t.Customer, t.Lane, t.Plan)
+		keys[i] = c.Key
+		if books[i] = p.open(i, c, now); books[i] == nil {
+			return nil
+		}
+	}
+	p.keys(keys[0], keys[1])
+	y := &try{task: t, open: 2}
+	for i, b := range books {
+		if p.budget < 1 {
+			y.blind = true
+			p.decide(i, b, y, now, p.guess(b, now))
+			continue
+		}
+		calls = append(calls, p.call(i, b, now, y))
+	}
+	return calls
+}
+
+// open finds a key's book; nil where there are too many.
+func (p *Play) open(i int, c counting.Count, now time.Duration) *book {
+	books := p.sides[i].books
+	key := counting.Mix(p.salt, uint64(i), c.Version, c.Key)
+	b := books[key]
+	if b == nil {
+		if len(books) >= booksMost {
+			return nil
+		}
+		plan := p.plans[c.Plan]
+		b = &book{key: key, plan: plan, window: counting.At(key, &plan, now), at: now, room: plan.Burst}
+		books[key] = b
+	}
+	b.used = now
+	return b
+}
+
+// call brings a book's pending units to its count.
+func (p *Play) call(i int, b *book, now time.Duration, y *try) Call {
+	p.budget--
+	p.Calls++
+	p.latest++
+	w := counting.At(b.key, &b.plan, now)
+	p.calls[p.latest] = asked{i, b, w, now, b.pending, y}
+	c := Call{w.Name, b.pending, w.Keep, p.latest}
+	b.pending, b.due = 0, 0
+	return c
+}
+
+// Told takes a call's answer; read is false where none came or the counter turned it away.
+func (p *Play) Told(now time.Duration, id uint64, total float64, read bool) {
+	a, ok := p.calls[id]
+	if !ok {
+		return
+	}
+	delete(p.calls, id)
+	b := a.book
+	room := p.guess(b, now)
+	if read {
+		room = b.look(a.window, a.at, total)
+		p.over(a, total)
+	} else if b.pending += a.sum; b.pending > 0 && b.due == 0 {
+		b.due = now + flushAfter
+	}
+	if a.try != nil {
+		a.try.blind = a.try.blind || !read
+		p.decide(a.side, b, a.try, now, room)
+	}
+}
+
+// over counts what a call brought beyond the new rule's limit: let in, as the count lagged.
+func (p *Play) over(a asked, total float64) {
+	limit := a.book.plan.Burst + a.book.plan.Rate*(a.at-a.window.Start).Seconds()
+	if a.side == 1 && a.try != nil {
+		a.try.beyond = min(max(total-limit, 0), a.sum)
+	}
+}
+
+// look takes a total. A window not seen before starts with no more than what came since the latest look at the one
+// before: that guards against two bursts at a window's edge.
+func (b *book) look(w counting.Window, at time.Duration, total float64) float64 {
+	room := counting.Room(&b.plan, w, at, total)
+	if w.Nth > b.window.Nth {
+		room = min(room, b.room+b.plan.Rate*(at-b.at).Seconds())
+	}
+	b.window, b.at, b.room = w, at, room
+	return room
+}
+
+// guess is the room without a total: that of the latest look and what came since.
+func (p *Play) guess(b *book, now time.Duration) float64 {
+	return min(b.room+b.plan.Rate*max(now-b.at, 0).Seconds()-b.pending, b.plan.Burst)
+}
+
+// decide is one side's word on a task.
+func (p *Play) decide(i int, b *book, y *try, now time.Duration, room float64) {
+	c := p.sides[i].rule.Count(y.task.Customer, y.task.Lane, y.task.Plan)
+	units := y.task.Units * c.Weight
+	if room-b.pending >= units {
+		y.letIn[i] = true
+		b.pending += units
+		if b.due == 0 {
+			b.due = now + flushAfter
+		}
+	}
+	if y.open--; y.open == 0 {
+		cell, _ := p.sample.Cell(y.task.Customer)
+		p.done(cell, y)
+	}
+}
+
+// Due gives the calls for units that no later task brought, as far as the budget reaches, and forgets keys long unseen.
+func (p *Play) Due(now time.Duration) (calls []Call) {
+	if now < p.swept+flushAfter/2 {
+		return nil
+	}
+	p.swept = now
+	for i := range p.sides {
+		for key, b := range p.sides[i].books {
+			switch {
+			case b.due > 0 && now >= b.due && p.budget >= 1:
+				calls = append(calls, p.call(i, b, now, nil))
+			case now > b.used+forgetIn:
+				delete(p.sides[i].books, key)
+			}
+		}
+	}
+	return calls
+}
