--- a/internal/canary/decider.go
+++ b/internal/canary/decider.go
@@ -25,12 +25,13 @@
 // It guards against a rule that rejects, lets in or overruns more than the terms allow. Harm: a rule whose keys are too
 // few or too far apart is refused undecided.
 type Decider struct {
-	Terms  *counting.Terms
+	Terms  func() *counting.Terms    // those of the file as last read; they may change between two calls of Decide
 	Lease  time.Duration             // of the table, at every process
 	Wait   time.Duration             // the longest that a read of the table waits
 	Origin time.Duration             // the common clock when now was 0
 	Fits   func(counting.Rule) error // tells why a rule cannot hold with the lanes and plans there are; nil: any can
 
+	terms  *counting.Terms
 	epoch  uint64
 	base   map[string]uint64 // the sums that stood in Test.Sums when it was written
 	made   []byte            // the value proposed last, and the sums it was made of
@@ -60,6 +61,7 @@
 		return nil, false
 	}
 	at := d.Origin + now
+	d.terms = d.Terms()
 	if !d.step(at, now-seen.Since, &t, &test, seen.Sums) {
 		return nil, false
 	}
@@ -72,7 +74,7 @@
 // read sent after, so a lease that covers a later moment than now and a lease has heard of it. Two waits more let
 // most processes hear before their lease could end, and clocks may differ by skewMost.
 func (d *Decider) edge(at time.Duration) time.Duration {
-	lead := d.Lease + 2*d.Wait + 2*skewMost + time.Duration(d.Terms.Canary.LeadMS)*time.Millisecond
+	lead := d.Lease + 2*d.Wait + 2*skewMost + time.Duration(d.terms.Canary.LeadMS)*time.Millisecond
 	return (at + lead + edgeStep - 1) / edgeStep * edgeStep
 }
 
@@ -88,7 +90,7 @@
 		if !past {
 			return false
 		}
-		if d.Terms.Try == t.From && d.Terms.Try != t.To { // the operators want the earlier rule again
+		if d.terms.Try == t.From && d.terms.Try != t.To { // the operators want the earlier rule again
 			d.back(at, t, "as the file says", false)
 			return true
 		}
@@ -106,16 +108,16 @@
 
 // begin takes up the rule that the file names, if it is another than the one in force and was not refused.
 func (d *Decider) begin(at time.Duration, t *counting.Table, test *Test) bool {
-	try := d.Terms.Try
+	try := d.terms.Try
 	if try == t.From || slices.Contains(t.Refused, try) {
 		return false
 	}
-	i := slices.IndexFunc(d.Terms.Rules, func(r counting.Rule) bool { return r.Version == try })
+	i := slices.IndexFunc(d.terms.Rules, func(r counting.Rule) bool { return r.Version == try })
 	t.Rules = slices.DeleteFunc(slices.Clone(t.Rules), func(r counting.Rule) bool {
 		return r.Version != t.From && r.Version != t.Was
 	})
 	if _, known := t.Rule(try); !known && i >= 0 {
-		t.Rules = append(t.Rules, d.Terms.Rules[i])
+		t.Rules = append(t.Rules, d.terms.Rules[i])
 	}
 	next, _ := t.Rule(try)
 	if try == t.Was { // it held before: going back needs no trial
@@ -124,7 +126,7 @@
 	}
 	old, _ := t.Rule(t.From)
 	t.Seed, t.Since, t.To = counting.Mix(try, uint64(at)), at, try
-	_, err := NewSample(old, next, t.Seed, d.Terms.Canary.Sample)
+	_, err := NewSample(old, next, t.Seed, d.terms.Canary.Sample)
 	if err == nil && d.Fits != nil {
 		err = d.Fits(next)
 	}
@@ -152,9 +154,9 @@
 
 // judge looks at the cells whose time has come and gives the verdict where there is one.
 func (d *Decider) judge(at, led time.Duration, t *counting.Table, test *Test, sums map[string]uint64) bool {
-	c := &d.Terms.Canary
+	c := &d.terms.Canary
 	deadline := time.Duration(c.DeadlineS) * time.Second
-	if d.Terms.Try != t.To {
+	if d.terms.Try != t.To {
 		t.Phase, t.To, t.Since, t.Why = counting.Still, t.From, at, "the file names another rule"
 		*test = Test{}
 		return true
@@ -202,7 +204,7 @@
 
 // watch compares what is let in after the activation with what was foretold. It ends after a while.
 func (d *Decider) watch(at time.Duration, t *counting.Table, test *Test, sums map[string]uint64) bool {
-	c := &d.Terms.Canary
+	c := &d.terms.Canary
 	if at >= t.Edge+time.Duration(c.WatchS)*time.Second {
 		*t = counting.Table{Phase: counting.Still, From: t.To, To: t.To, Was: t.From, Rules: t.Rules, Refused: t.Refused,
 			Since: at, Why: fmt.Sprintf("kept: %.3f let in, %.3f foretold", test.Seen, test.Foretold)}
--- a/internal/canary/play.go
+++ b/internal/canary/play.go
@@ -82,13 +82,18 @@
 // NewPlay begins a play. Salt is the canary's own: names made with it are no rule's. Calls is the share of the
 // gateway's calls that may be spent, in thousandths.
 func NewPlay(s *Sample, old, next *counting.Fitted, site policy.Deployment, salt, calls uint64) *Play {
-	p := &Play{Tallies: newTallies(salt, site), sample: s, plans: site.Plans, share: float64(calls) / 1000, calls: map[uint64]asked{}}
-	for i, r := range []*counting.Fitted{old, next} {
-		p.sides[i] = side{r, map[uint64]*book{}}
-	}
+	p := &Play{Tallies: newTallies(salt), sample: s, share: float64(calls) / 1000, calls: map[uint64]asked{}}
+	p.sides[0].books, p.sides[1].books = map[uint64]*book{}, map[uint64]*book{}
+	p.Refit(old, next, site)
 	return p
 }
 
+// Refit goes on with the same rules beside other lanes and plans, which have kept their numbers.
+func (p *Play) Refit(old, next *counting.Fitted, site policy.Deployment) {
+	p.sides[0].rule, p.sides[1].rule, p.plans = old, next, site.Plans
+	p.named(site)
+}
+
 // Earn takes word of n calls that the gateway made for its tasks.
 func (p *Play) Earn(n uint64) { p.budget = min(p.budget+p.share*float64(n), budgetMost) }
 
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -43,15 +43,19 @@
 // shares are a cell's units in thousandths.
 type shares struct{ asked, old, new, beyond uint64 }
 
-func newTallies(salt uint64, site policy.Deployment) *Tallies {
-	t := &Tallies{salt: salt, mark: Mark(salt), counts: map[string]uint64{}, from: map[uint64]uint64{}, to: map[uint64]uint64{}}
+func newTallies(salt uint64) *Tallies {
+	return &Tallies{salt: salt, mark: Mark(salt), counts: map[string]uint64{}, from: map[uint64]uint64{}, to: map[uint64]uint64{}}
+}
+
+// named takes the names of lanes and plans by number.
+func (t *Tallies) named(site policy.Deployment) {
+	t.lane, t.gain, t.way = nil, nil, nil
 	for _, l := range site.Lanes {
 		t.lane, t.gain = append(t.lane, l.Name), append(t.gain, l.Gain)
 	}
 	for _, p := range site.Plans {
 		t.way = append(t.way, p.Name)
 	}
-	return t
 }
 
 // Mark is a canary's mark in the names of its evidence.
--- /dev/null
+++ b/internal/clerk/clerk.go
@@ -0,0 +1,231 @@
+// Package clerk has a gateway's tasks counted by the rule that the processes hold in common: it stands between the gate,
+// the counter and what is held. It decides nothing: counting says which rules hold, canary what a new one would do.
+package clerk
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"harrierhoist/internal/canary"
+	"harrierhoist/internal/cluster"
+	"harrierhoist/internal/counting"
+	"harrierhoist/internal/gate"
+	"harrierhoist/policy"
+)
+
+// Count is a call to the counter, as gate.Outside has it: it may neither wait nor call back before it returns.
+type Count = func(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome))
+
+const tick = 250 * time.Millisecond // how often the play's late units go, and the lease is looked at for the log
+
+// Clerk counts by rule. Its lock is taken under the gate's, never the other way round.
+type Clerk struct {
+	count   Count
+	log     *zap.Logger
+	commons cluster.Commons
+	gate    *gate.Gate
+
+	mu      sync.Mutex
+	file    *counting.Terms
+	base    policy.Deployment // without the rules' plans
+	site    policy.Deployment // as in force
+	rules   []counting.Rule   // known, by the table first
+	planned bool              // the plans have them all
+	fitted  map[uint64]*counting.Fitted
+	table   counting.Table
+	epoch   uint64
+	calls   uint64 // made for tasks since the play last earned
+	play    *canary.Play
+	salt    uint64 // of the play
+	second  *counting.Second
+	fenced  bool // logged
+}
+
+// New makes a clerk of a file's terms. Its Count is what the gate is to call the counter by.
+func New(file *counting.Terms, count Count, log *zap.Logger) *Clerk {
+	return &Clerk{file: file, count: count, log: log, fitted: map[uint64]*counting.Fitted{}, second: counting.NewSecond(1)}
+}
+
+// Count calls the counter for the module; the canary lives on a share of these calls.
+func (c *Clerk) Count(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) {
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
+	c.count(name, units, keep, told)
+}
+
+// Start puts the clerk between a gate and what is held in common. Site is what the gate was made with. The gate takes
+// tasks by rule from here on.
+func (c *Clerk) Start(g *gate.Gate, site policy.Deployment, commons cluster.Commons) error {
+	c.gate, c.commons = g, commons
+	c.mu.Lock()
+	c.refresh()
+	c.mu.Unlock()
+	if _, err := g.CountBy(c, site); err != nil {
+		return err
+	}
+	commons.Witness(func(add func(string, uint64)) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.play != nil {
+			c.play.Witness(add)
+		}
+	})
+	return nil
+}
+
+// Move takes the terms of a file that was read again.
+func (c *Clerk) Move(file *counting.Terms) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.file = file
+}
+
+// Terms are those of the file as last read.
+func (c *Clerk) Terms() *counting.Terms {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.file
+}
+
+// Decider makes the decider of the table, for a voter that leads.
+func (c *Clerk) Decider(lease, wait time.Duration) *canary.Decider {
+	return &canary.Decider{Terms: c.Terms, Lease: lease, Wait: wait, Origin: c.gate.Now() - c.commons.Now(),
+		Fits: func(r counting.Rule) error {
+			c.mu.Lock()
+			site := c.base
+			c.mu.Unlock()
+			_, err := counting.Fit(r, counting.Plans(site, []counting.Rule{r}))
+			return err
+		}}
+}
+
+// Run follows the table until the context ends.
+func (c *Clerk) Run(ctx context.Context) {
+	each := time.NewTicker(tick)
+	defer each.Stop()
+	for {
+		changed := c.commons.Changed()
+		c.follow()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-each.C:
+		}
+	}
+}
+
+// follow takes in what is new: rules into the gate's plans, a canary begun or ended, the play's late calls.
+func (c *Clerk) follow() {
+	now := c.gate.Now()
+	c.mu.Lock()
+	fresh, held := c.refresh(), c.held()
+	base, fence := c.base, c.standing(now, held)
+	if tight := len(fence) > 1; tight != c.fenced {
+		c.fenced = tight
+		c.log.Info("counting: what rule holds is not known: what passes must pass all of these", zap.Bool("so", tight),
+			zap.Uint64s("rules", fence))
+	}
+	c.mu.Unlock()
+	if fresh {
+		if _, err := c.gate.CountBy(c, base); err != nil {
+			c.log.Error("counting: the rules' plans are not taken", zap.Error(err))
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cast()
+	if c.play != nil {
+		c.play.Earn(c.calls)
+		c.calls = 0
+		c.send(c.play.Due(now))
+	}
+}
+
+// refresh reads the table as held, and tells whether it brought a rule that the plans do not have yet.
+func (c *Clerk) refresh() (fresh bool) {
+	h := c.commons.Held(counting.Name)
+	if h.Epoch != c.epoch {
+		t, err := counting.Decode(h.Value)
+		if err != nil {
+			c.log.Error("counting: the table cannot be read; what was held stands", zap.Error(err))
+		} else {
+			if t.Phase != c.table.Phase || t.To != c.table.To || t.From != c.table.From {
+				c.log.Info("counting: a step", zap.Uint8("phase", uint8(t.Phase)), zap.Uint64("from", t.From), zap.Uint64("to", t.To),
+					zap.Time("edge", time.Unix(0, int64(t.Edge))), zap.String("why", t.Why))
+			}
+			c.table = t
+		}
+		c.epoch = h.Epoch
+	}
+	for i, r := range slices.Concat(c.table.Rules, c.file.Rules) {
+		at := slices.IndexFunc(c.rules, func(o counting.Rule) bool { return o.Version == r.Version })
+		if at < 0 {
+			c.rules, c.planned = append(c.rules, r), false
+		} else if i < len(c.table.Rules) && !c.rules[at].Same(r) { // what is committed is what the version means
+			c.rules[at], c.planned = r, false
+		}
+	}
+	return !c.planned
+}
+
+// held tells whether the lease on the table stands; a table that was never written has one too.
+func (c *Clerk) held() bool { return c.commons.Now() < c.commons.Held(counting.Name).Until }
+
+func (c *Clerk) standing(now time.Duration, held bool) []uint64 {
+	return slices.DeleteFunc(c.table.Standing(now, held, c.epoch > 0, c.file), func(v uint64) bool { return c.fitted[v] == nil })
+}
+
+// Plans is for the gate.
+func (c *Clerk) Plans(site policy.Deployment) policy.Deployment {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.base, c.planned = site, true
+	return counting.Plans(site, c.rules)
+}
+
+// Shaped is for the gate.
+func (c *Clerk) Shaped(site policy.Deployment) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.site, c.second = site, counting.NewSecond(site.Gateways)
+	for _, r := range append([]counting.Rule{{}}, c.rules...) {
+		f, err := counting.Fit(r, site)
+		if err != nil {
+			c.log.Error("counting: a rule cannot hold here", zap.Error(err))
+			delete(c.fitted, r.Version)
+			continue
+		}
+		c.fitted[r.Version] = f
+	}
+	if old, next := c.fitted[c.table.From], c.fitted[c.table.To]; c.play != nil && old != nil && next != nil {
+		c.play.Refit(old, next, site)
+	} else {
+		c.play = nil
+	}
+}
+
+// cast begins and ends the play.
+func (c *Clerk) cast() {
+	t := &c.table
+	on := t.Phase == counting.Canary || t.Phase == counting.Named
+	old, next := c.fitted[t.From], c.fitted[t.To]
+	if !on || old == nil || next == nil {
+		c.play = nil
+		return
+	}
+	if c.play != nil && c.salt == t.Seed {
+		return
+	}
+	s, err := canary.NewSample(old.Rule, next.Rule, t.Seed, c.file.Canary.Sample)
+	if err != nil {
+		c.play = nil
+		return
+	}
+	c.play, c.salt = canary.NewPlay(s, old, next, c.site, t.Seed, c.file.Canary.Calls), t.Seed
+}
--- a/internal/counting/desk.go
+++ b/internal/counting/desk.go
@@ -65,9 +65,10 @@
 // Hold is one task's units at one count. Its units go back, all or in part, by Settle.
 type Hold struct {
 	Window
-	Units float64
-	plan  policy.Plan
-	at    time.Duration
+	Units  float64 // weighted
+	Weight float64
+	plan   policy.Plan
+	at     time.Duration
 }
 
 // Ask gives the hold whose units are to be added to the count now.
@@ -80,7 +81,7 @@
 			}
 		}
 	}
-	return Hold{At(c.Key, &plan, at), units * c.Weight, plan, at}
+	return Hold{At(c.Key, &plan, at), units * c.Weight, c.Weight, plan, at}
 }
 
 // Told takes the counter's answer (read false: none came in time) and tells whether the task passes.
@@ -96,5 +97,24 @@
 	return pass
 }
 
-// Settle gives what is to be added to the hold's count once the task is over: true weighted units less those held.
-func (s *Second) Settle(h Hold, units float64) float64 { return units - h.Units }
+// Added is whether a hold's units stand in its count.
+type Added uint8
+
+// What can be known of that.
+const (
+	Unknown Added = iota // no answer yet, or the connection was lost
+	Yes
+	No
+)
+
+// Settle gives what is to be added to the hold's count once the task is over, by the weighted units that it used. What
+// may not have been added is not taken off again: a count too high rejects, one too low passes a limit.
+func (h Hold) Settle(used float64, added Added) float64 {
+	switch added {
+	case Yes:
+		return used - h.Units
+	case No:
+		return used
+	}
+	return max(used-h.Units, 0)
+}
--- a/internal/counting/rule.go
+++ b/internal/counting/rule.go
@@ -181,3 +181,6 @@
 	}
 	return faults
 }
+
+// Same tells whether two rules mean the same.
+func (r Rule) Same(o Rule) bool { return fmt.Sprintf("%v", r) == fmt.Sprintf("%v", o) }
