--- a/internal/canary/bet.go
+++ b/internal/canary/bet.go
@@ -40,15 +40,23 @@
 // Mean is that of the numbers so far.
 func (b *Bet) Mean() float64 { return b.Sum / float64(max(b.N, 1)) }
 
-// Harmless tells that the mean is below the bound, wrong with a chance of at most a; Harmful that it is above.
-func (b *Bet) Harmless(a float64) bool { return wealth(b.Below[:]) >= 1/a }
-
-// Harmful is the other side.
-func (b *Bet) Harmful(a float64) bool { return wealth(b.Above[:]) >= 1/a }
+// Harmless tells that the mean is below the bound, wrong with a chance of at most a. The highest stake has half of the
+// first wealth, the next a quarter and so on: cells in which nothing is lost are the usual case.
+func (b *Bet) Harmless(a float64) bool {
+	mean := 0.0
+	for i, l := range b.Below {
+		mean += math.Exp(min(l, expMost)) / float64(int(2)<<i)
+	}
+	return mean >= 1/a
+}
 
-func wealth(logs []float64) (mean float64) {
-	for _, l := range logs {
-		mean += math.Exp(min(l, 600)) / float64(len(logs))
+// Harmful tells that it is above, the same way; each stake has as much of the first wealth.
+func (b *Bet) Harmful(a float64) bool {
+	mean := 0.0
+	for _, l := range b.Above {
+		mean += math.Exp(min(l, expMost)) / stakes
 	}
-	return mean
+	return mean >= 1/a
 }
+
+const expMost = 600 // far beyond any 1/a, and no infinity
--- a/internal/canary/decider.go
+++ b/internal/canary/decider.go
@@ -176,10 +176,8 @@
 		if asked < askedLow {
 			continue
 		}
-		for i, what := range []string{oldOnly, newOnly, beyonds} {
-			bound := float64([]uint64{c.Rejected, c.LetIn, c.Beyond}[i]) / 1000
-			test.Bets[i].Take(float64(sums[cellName(mark, test.Next, what)])/asked, bound)
-		}
+		sum := func(what string) float64 { return float64(sums[cellName(mark, test.Next, what)]) }
+		test.take(c, asked, sum(oldOnly), sum(newOnly), sum(beyonds))
 	}
 	if !moved {
 		return false
--- a/internal/canary/trial.go
+++ b/internal/canary/trial.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"harrierhoist/internal/cluster/evidence"
+	"harrierhoist/internal/counting"
 )
 
 // Test is what a canary has shown so far, in the table: it must not be lost with a leader.
@@ -23,6 +24,14 @@
 	In       uint64            `cbor:"9,keyasint"`
 }
 
+// take takes a cell. What one rule lets in at one moment and the other at the next is no difference: a key at its limit
+// is let in by turns, and only what is left of it over the cell's time counts.
+func (x *Test) take(c *counting.Trial, asked, old, next, beyond float64) {
+	x.Bets[0].Take((old-next)/asked, float64(c.Rejected)/1000)
+	x.Bets[1].Take((next-old)/asked, float64(c.LetIn)/1000)
+	x.Bets[2].Take(beyond/asked, float64(c.Beyond)/1000)
+}
+
 // foretell is the part that would be let in: what was let in by the old rule, times what the play lets in by the new
 // beside what it lets in by the old.
 func (x *Test) foretell(old uint64) float64 {
--- a/internal/clerk/take.go
+++ b/internal/clerk/take.go
@@ -65,7 +65,9 @@
 		c.count(call.Name, call.Units, call.Keep, func(total float64, how policy.Outcome) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			play.Told(c.gate.Now(), call.ID, total, how == policy.Answered)
+			if more := play.Told(c.gate.Now(), call.ID, total, how == policy.Answered); play == c.play {
+				c.send(more)
+			}
 		})
 	}
 }
