--- a/internal/canary/book.go
+++ b/internal/canary/book.go
@@ -33,5 +33,32 @@
 
 // guess is the room without a total: that of the latest look and what came since.
 func (b *book) guess(now time.Duration) float64 {
-	return min(b.room+b.plan.Rate*max(now-b.at, 0).Seconds()-b.pending, b.plan.Burst)
+	return min(b.room+b.plan.Rate*max(now-b.at, 0).Seconds(), b.plan.Burst)
+}
+
+// asked is a call that is out.
+type asked struct {
+	side   int
+	book   *book
+	window counting.Window
+	at     time.Duration
+	sum    float64
+	try    *try // nil: it brought units alone
+	carry  bool // it read the window before, for what that lacked at its end
+}
+
+// try is one task on both sides.
+type try struct {
+	task   Task
+	open   int // sides that wait for a total
+	letIn  [2]bool
+	beyond float64
+	blind  bool
+}
+
+// Task is a task as the play sees it.
+type Task struct {
+	Customer   uint64
+	Lane, Plan int
+	Units      float64
 }
--- a/internal/clerk/take.go
+++ b/internal/clerk/take.go
@@ -41,6 +41,8 @@
 	}
 	played := c.play != nil && c.play.Played(t.Customer)
 	if played {
+		c.play.Earn(c.calls)
+		c.calls = 0
 		c.send(c.play.Take(now, canary.Task{Customer: t.Customer, Lane: t.Lane, Plan: t.Plan, Units: t.Units}))
 	}
 	if played || holds != nil {
