--- a/internal/clerk/take.go
+++ b/internal/clerk/take.go
@@ -81,19 +81,21 @@
 	within time.Duration
 	weight float64 // by which the module counts: true units come multiplied by it
 
-	mu     sync.Mutex
+	// These are under the clerk's lock.
 	then   func(bool)
 	open   int
 	pass   bool
 	ended  bool // the task is over
 	pushed bool
 	units  float64
-	added  []counting.Added
+	added  []counting.Added // by hold
+	passed []bool
 }
 
 func (c *Clerk) hold(all []counting.Hold, t gate.Task, weight float64) *holds {
 	within := c.site.Lanes[t.Lane].SoftLimit / waitPart
-	return &holds{Clerk: c, all: all, within: within, weight: weight, open: len(all), pass: true, added: make([]counting.Added, len(all))}
+	return &holds{Clerk: c, all: all, within: within, weight: weight, open: len(all), pass: true,
+		added: make([]counting.Added, len(all)), passed: make([]bool, len(all))}
 }
 
 // ask has the counts asked; a count that does not answer in time goes by this process's own share.
@@ -104,39 +106,46 @@
 		late := time.AfterFunc(h.within, func() { once.Do(func() { h.told(i, 0, false) }) })
 		h.count(h.all[i].Name, h.all[i].Units, h.all[i].Keep, func(total float64, how policy.Outcome) {
 			late.Stop()
-			h.mu.Lock()
+			h.Clerk.mu.Lock()
 			if how == policy.Answered {
 				h.added[i] = counting.Yes
 			} else if how != policy.TimedOut {
 				h.added[i] = counting.No
 			}
-			h.mu.Unlock()
+			h.Clerk.mu.Unlock()
 			once.Do(func() { h.told(i, total, how == policy.Answered) })
 		})
 	}
 }
 
 func (h *holds) told(i int, total float64, read bool) {
+	hold := h.all[i]
 	h.Clerk.mu.Lock()
-	passed := h.second.Told(h.all[i], total, read)
+	passed, before := h.second.Told(hold, total, read)
 	h.Clerk.mu.Unlock()
-	h.mu.Lock()
+	if before != nil {
+		h.count(before.Name, 0, before.Keep, func(total float64, how policy.Outcome) {
+			if lacks := hold.Lacks(*before, total); how == policy.Answered && lacks > 0 {
+				h.count(hold.Name, lacks, hold.Keep, func(float64, policy.Outcome) {})
+			}
+		})
+	}
+	h.Clerk.mu.Lock()
+	h.passed[i] = passed
 	h.pass = h.pass && passed
 	h.open--
 	last, pass := h.open == 0, h.pass
 	if last && h.ended { // its client has gone meanwhile
 		h.settle()
 	}
-	h.mu.Unlock()
+	h.Clerk.mu.Unlock()
 	if last {
 		h.then(pass)
 	}
 }
 
-// over takes word that the task has its final answer.
+// over takes word that the task has its final answer. The clerk's lock is held.
 func (h *holds) over(pushed bool, units float64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.ended, h.pushed, h.units = true, pushed, units/h.weight
 	if h.open == 0 {
 		h.settle()
@@ -154,7 +163,7 @@
 				used = hold.Weight * h.units
 			}
 		}
-		if more := hold.Settle(used, h.added[i]); more != 0 {
+		if more := h.second.Settle(hold, h.passed[i], used, h.added[i]); more != 0 {
 			h.count(hold.Name, more, hold.Keep, func(float64, policy.Outcome) {})
 		}
 	}
--- a/internal/counting/desk.go
+++ b/internal/counting/desk.go
@@ -46,20 +46,22 @@
 // question, so that what two processes ask at once passes no limit, and gives back what was not used. It guards the
 // limit of a rule that may be in force unknown to us. Harm: what waits for its answer is held as used.
 type Second struct {
-	share float64 // of a limit that this process uses where the counter does not answer
-	used  map[uint64]own
+	share float64          // of a limit that this process uses where the counter does not answer
+	seen  map[uint64]*seen // by key
 	swept time.Duration
 }
 
-// own is what this process took from a name.
-type own struct {
-	units float64
-	until time.Duration
+// seen is what this process knows of a key.
+type seen struct {
+	at   time.Duration // of the latest total
+	room float64       // that it left, less what passed here since
+	used float64       // what passed here in the window
+	nth  int64         // the window
 }
 
 // NewSecond makes a desk; a fleet of so many gateways shares each count.
 func NewSecond(gateways int) *Second {
-	return &Second{share: 1 / float64(max(gateways, 1)), used: map[uint64]own{}}
+	return &Second{share: 1 / float64(max(gateways, 1)), seen: map[uint64]*seen{}}
 }
 
 // Hold is one task's units at one count. Its units go back, all or in part, by Settle.
@@ -67,6 +69,7 @@
 	Window
 	Units  float64 // weighted
 	Weight float64
+	key    uint64
 	plan   policy.Plan
 	at     time.Duration
 }
@@ -75,26 +78,48 @@
 func (s *Second) Ask(c Count, plan policy.Plan, units float64, at time.Duration) Hold {
 	if at > s.swept+keepMost {
 		s.swept = at
-		for name, o := range s.used {
-			if o.until < at {
-				delete(s.used, name)
+		for key, k := range s.seen {
+			if k.at+keepMost < at {
+				delete(s.seen, key)
 			}
 		}
 	}
-	return Hold{At(c.Key, &plan, at), units * c.Weight, c.Weight, plan, at}
+	return Hold{At(c.Key, &plan, at), units * c.Weight, c.Weight, c.Key, plan, at}
 }
 
-// Told takes the counter's answer (read false: none came in time) and tells whether the task passes.
-func (s *Second) Told(h Hold, total float64, read bool) bool {
-	o, most := s.used[h.Name], h.plan.Burst+h.plan.Rate*(h.at-h.Start).Seconds()
-	pass := o.units+h.Units <= most*s.share
+// Told takes the counter's answer (read false: none came in time) and tells whether the task passes. Where the window
+// was untouched, before is the one before it, to be read with nought: what Lacks makes of its total is to be added to
+// this window's count, as the module does. Until that stands, and where another process is to do it, our own latest
+// look bounds the room.
+func (s *Second) Told(h Hold, total float64, read bool) (pass bool, before *Window) {
+	k := s.seen[h.key]
+	if k == nil {
+		k = &seen{at: h.at, room: h.plan.Burst, nth: -1}
+		s.seen[h.key] = k
+	}
+	fresh := k.nth != h.Nth
+	if fresh {
+		k.nth, k.used = h.Nth, 0
+	}
+	room := (h.plan.Burst+h.plan.Rate*(h.at-h.Start).Seconds())*s.share - k.used
+	k.room, k.at = min(k.room+h.plan.Rate*max(h.at-k.at, 0).Seconds(), h.plan.Burst), max(h.at, k.at)
 	if read {
-		pass = Room(&h.plan, h.Window, h.at, total-h.Units) >= h.Units-rounding
+		k.room = min(k.room, Room(&h.plan, h.Window, h.at, total-h.Units))
+		room = k.room
+		if fresh && total <= h.Units+rounding {
+			w := At(h.key, &h.plan, h.Start-1)
+			before = &w
+		}
 	}
-	if pass {
-		s.used[h.Name] = own{o.units + h.Units, h.at + h.Keep}
+	if pass = room >= h.Units-rounding; pass {
+		k.room, k.used = k.room-h.Units, k.used+h.Units
 	}
-	return pass
+	return pass, before
+}
+
+// Lacks is what a store lacked at the end of the window before, whose total was read with nought.
+func (h Hold) Lacks(before Window, total float64) float64 {
+	return h.plan.Burst - Room(&h.plan, before, h.Start, total)
 }
 
 // Added is whether a hold's units stand in its count.
@@ -109,7 +134,10 @@
 
 // Settle gives what is to be added to the hold's count once the task is over, by the weighted units that it used. What
 // may not have been added is not taken off again: a count too high rejects, one too low passes a limit.
-func (h Hold) Settle(used float64, added Added) float64 {
+func (s *Second) Settle(h Hold, passed bool, used float64, added Added) float64 {
+	if k := s.seen[h.key]; k != nil && passed {
+		k.room += h.Units - used
+	}
 	switch added {
 	case Yes:
 		return used - h.Units
