--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -190,7 +190,7 @@
 }
 
 // Shaped is for the gate.
-func (c *Clerk) Shaped(site policy.Deployment) {
+func (c *Clerk) Shaped(site policy.Deployment) policy.Deployment {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.site, c.second = site, counting.NewSecond(site.Gateways)
@@ -208,6 +208,7 @@
 	} else {
 		c.play = nil
 	}
+	return counting.Face(site)
 }
 
 // cast begins and ends the play.
--- a/internal/counting/counting_test.go
+++ b/internal/counting/counting_test.go
@@ -96,6 +96,9 @@
 	if err != nil || !slices.Equal(d.Plans[:3], site().Plans) || !slices.Equal(Plans(site(), nil).Plans, site().Plans) {
 		t.Fatal(err, d.Plans)
 	}
+	if face := Face(d).Plans; face[2].Closed || !face[3].Closed || d.Plans[3].Closed {
+		t.Errorf("clients see %+v", face)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		customer, plan := rapid.Uint64().Draw(t, "customer"), rapid.IntRange(0, 2).Draw(t, "plan")
 		if got := f.Count(customer, 1, plan); got != (Count{Key: customer, Plan: plan, Weight: 1}) {
--- a/internal/counting/fit.go
+++ b/internal/counting/fit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -58,6 +59,16 @@
 	return site
 }
 
+// Face gives a deployment as clients may know it: no client asks for a rule's own plan.
+func Face(site policy.Deployment) policy.Deployment {
+	site.Plans = slices.Clone(site.Plans)
+	for i := range site.Plans {
+		p := &site.Plans[i]
+		p.Closed = p.Closed || strings.HasPrefix(p.Name, "rule"+between)
+	}
+	return site
+}
+
 // Fit lays a rule beside a deployment that Plans gave. An error tells why the rule cannot hold there.
 func Fit(r Rule, site policy.Deployment) (*Fitted, error) {
 	f := &Fitted{Rule: r, groups: map[uint64]uint64{}}
--- a/internal/gate/counts.go
+++ b/internal/gate/counts.go
@@ -9,9 +9,10 @@
 // Counting says under which counts tasks fall, where that is not always their customer's. All but Wait's answer is
 // called under the gate's lock and may neither wait nor call back.
 type Counting interface {
-	// Plans gives settings with the rules' own plans behind them; Shaped tells them as they are in force.
+	// Plans gives settings with the rules' own plans behind them. Shaped takes them as they are in force, and gives them
+	// as clients may know them: with the rules' plans closed.
 	Plans(site policy.Deployment) policy.Deployment
-	Shaped(site policy.Deployment)
+	Shaped(site policy.Deployment) policy.Deployment
 	// Take gives the counts of a task that is taken now. It keeps them whatever holds later.
 	Take(now time.Duration, t Task) Counted
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -96,7 +96,7 @@
 	g.pool.Resize(site.Me, site.Gateways)
 	g.report = len(site.Reports)
 	if g.counting != nil {
-		g.counting.Shaped(site)
+		site = g.counting.Shaped(site)
 	}
 	g.hand(now, policy.ListWhole)
 	return site, nil
