Counting: the trial's terms stand in the table, the same everywhere and to its end

A file read again in mid-trial, or another share in another file, would have made samples that differ and a bound that moves under the bets. Terms also ask for enough calls: a played task takes about four.

--- a/internal/canary/decider.go
+++ b/internal/canary/decider.go
@@ -125,7 +125,7 @@
 		return true
 	}
 	old, _ := t.Rule(t.From)
-	t.Seed, t.Since, t.To = counting.Mix(try, uint64(at)), at, try
+	t.Seed, t.Since, t.To, t.Trial = counting.Mix(try, uint64(at)), at, try, d.terms.Canary
 	_, err := NewSample(old, next, t.Seed, d.terms.Canary.Sample)
 	if err == nil && d.Fits != nil {
 		err = d.Fits(next)
@@ -154,7 +154,7 @@
 
 // judge looks at the cells whose time has come and gives the verdict where there is one.
 func (d *Decider) judge(at, led time.Duration, t *counting.Table, test *Test, sums map[string]uint64) bool {
-	c := &d.terms.Canary
+	c := &t.Trial
 	deadline := time.Duration(c.DeadlineS) * time.Second
 	if d.terms.Try != t.To {
 		t.Phase, t.To, t.Since, t.Why = counting.Still, t.From, at, "the file names another rule"
@@ -202,7 +202,7 @@
 
 // watch compares what is let in after the activation with what was foretold. It ends after a while.
 func (d *Decider) watch(at time.Duration, t *counting.Table, test *Test, sums map[string]uint64) bool {
-	c := &d.terms.Canary
+	c := &t.Trial
 	if at >= t.Edge+time.Duration(c.WatchS)*time.Second {
 		*t = counting.Table{Phase: counting.Still, From: t.To, To: t.To, Was: t.From, Rules: t.Rules, Refused: t.Refused,
 			Since: at, Why: fmt.Sprintf("kept: %.3f let in, %.3f foretold", test.Seen, test.Foretold)}
--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -223,10 +223,10 @@
 	if c.play != nil && c.salt == t.Seed {
 		return
 	}
-	s, err := canary.NewSample(old.Rule, next.Rule, t.Seed, c.file.Canary.Sample)
+	s, err := canary.NewSample(old.Rule, next.Rule, t.Seed, t.Trial.Sample)
 	if err != nil {
 		c.play = nil
 		return
 	}
-	c.play, c.salt = canary.NewPlay(s, old, next, c.site, t.Seed, c.file.Canary.Calls), t.Seed
+	c.play, c.salt = canary.NewPlay(s, old, next, c.site, t.Seed, t.Trial.Calls), t.Seed
 }
--- a/internal/counting/rule.go
+++ b/internal/counting/rule.go
@@ -67,7 +67,8 @@
 	weightOne    = 1000    // thousandths: a unit counts as one
 	weightMost   = 100_000 // a hundredfold: more is a slip of the pen
 	maskLeast    = 5       // bits of a mask: fewer than 32 groups cannot be sampled
-	sampleMost   = 500     // thousandths: more than half of all keys is no sample
+	sampleMost   = 80      // thousandths: more cannot be played within callsMost
+	callsTimes   = 3       // a played task asks the counter 4 times, the module 1.3 times for any task
 	callsMost    = 250     // thousandths: a quarter of the fleet's calls is the most that a trial is worth
 	deadlineLow  = 120     // seconds: shorter, the keys cannot be looked at one after the other
 	deadlineHigh = 86_400  // a day
@@ -114,6 +115,10 @@
 	}
 	within("canary.sample", c.Sample, 1, sampleMost)
 	within("canary.calls", c.Calls, 1, callsMost)
+	if c.Calls < callsTimes*c.Sample {
+		fault("canary.calls", "must be %d times canary.sample or more, %d, not %d: else tasks are played without a total and no rule"+
+			" is taken", callsTimes, callsTimes*c.Sample, c.Calls)
+	}
 	within("canary.deadline_s", c.DeadlineS, deadlineLow, deadlineHigh)
 	within("canary.wrong", c.WrongThousandths, 1, wrongMost)
 	within("canary.rejected", c.Rejected, 1, boundMost)
--- a/internal/counting/table.go
+++ b/internal/counting/table.go
@@ -36,6 +36,8 @@
 	Why     string   `cbor:"10,keyasint"` // of the latest step, for people
 	// Test is the decider's own; processes do not read it.
 	Test []byte `cbor:"11,keyasint"`
+	// Trial are the terms that the rule is tried by: the same at all processes, and to its end.
+	Trial Trial `cbor:"12,keyasint"`
 }
 
 // Decode reads a value; nothing written stands for rule 0 in peace.
