--- a/internal/canary/bet.go
+++ b/internal/canary/bet.go
@@ -19,7 +19,7 @@
 	Sum   float64         `cbor:"4,keyasint"` // of them
 }
 
-// stakes are so many parts of the highest stake, each half of the one before: bounds from 1% to half, whatever the spread.
+// stakes are so many parts of the highest stake, each half of the one before: for bounds from 1% to half.
 const stakes = 8
 
 // stakeMost is the part of the highest stake that is bet: all of it can lose everything at one number.
--- a/internal/canary/decider_test.go
+++ b/internal/canary/decider_test.go
@@ -80,7 +80,8 @@
 	w.pass(w.now+100*time.Second, w.judged)
 	y, _ := decode(w.value().Test)
 	if v := w.value(); !w.judged() || v.From != 0 || y.Bets[0].N <= x.Bets[0].N || y.Sums[tasks] < x.Sums[tasks] {
-		t.Errorf("phase %d after cells %d to %d, %d to %d tasks: %s", v.Phase, x.Next, y.Next, x.Sums[tasks], y.Sums[tasks], v.Why)
+		t.Errorf("phase %d after cells %d to %d, %d to %d tasks: %s", v.Phase, x.Next, y.Next, x.Sums[tasks],
+			y.Sums[tasks], v.Why)
 	}
 }
 
@@ -119,7 +120,8 @@
 	if v, ok := decideOnce(file, still); !ok || v.Phase != counting.Back || v.To != 0 || v.Edge <= time.Hour {
 		t.Errorf("%v, %+v", ok, v)
 	}
-	named := counting.Table{Phase: counting.Named, From: 0, To: 1, Edge: time.Hour + time.Second, Rules: []counting.Rule{limits(1)}}
+	named := counting.Table{Phase: counting.Named, From: 0, To: 1, Edge: time.Hour + time.Second,
+		Rules: []counting.Rule{limits(1)}}
 	if v, ok := decideOnce(file, named); ok {
 		t.Errorf("taken back before its edge: %+v", v)
 	}
@@ -131,7 +133,8 @@
 
 // A rule that cannot be sampled beside the one in force is refused, and the refusal says why.
 func TestRuleThatCannotBeSampledIsRefused(t *testing.T) {
-	one := counting.Rule{Version: 1, Key: []string{"group"}, Mask: 0xff00, Limits: []counting.Limit{{Plan: "*", Rate: 1, Burst: 1}}}
+	one := counting.Rule{Version: 1, Key: []string{"group"}, Mask: 0xff00, Limits: []counting.Limit{{Plan: "*",
+		Rate: 1, Burst: 1}}}
 	two := one
 	two.Version, two.Mask = 2, 0x00ff
 	file := &counting.Terms{Try: 2, Rules: []counting.Rule{one, two}, Canary: trial()}
--- a/internal/canary/sample.go
+++ b/internal/canary/sample.go
@@ -46,7 +46,8 @@
 		}
 	}
 	if listed && s.mask != math.MaxUint64 {
-		return nil, errors.New("one rule's groups are listed and the other's made by a mask: what hangs together cannot be told")
+		return nil, errors.New("one rule's groups are listed and the other's made by a mask: what" +
+			" hangs together cannot be told")
 	}
 	if bits.OnesCount64(s.mask) < 5 {
 		return nil, errors.New("the masks of both rules have fewer than 5 bits in common: too much hangs together to sample")
--- a/internal/canary/tally.go
+++ b/internal/canary/tally.go
@@ -44,7 +44,8 @@
 type shares struct{ asked, old, new, beyond uint64 }
 
 func newTallies(salt uint64) *Tallies {
-	return &Tallies{salt: salt, mark: Mark(salt), counts: map[string]uint64{}, from: map[uint64]uint64{}, to: map[uint64]uint64{}}
+	return &Tallies{salt: salt, mark: Mark(salt), counts: map[string]uint64{}, from: map[uint64]uint64{},
+		to: map[uint64]uint64{}}
 }
 
 // named takes the names of lanes and plans by number.
--- a/internal/canary/world_test.go
+++ b/internal/canary/world_test.go
@@ -39,16 +39,17 @@
 }
 
 func trial() counting.Trial {
-	return counting.Trial{Sample: 400, Calls: 250, DeadlineS: 120, WrongThousandths: 50, Rejected: 50, LetIn: 100, Beyond: 100,
-		Leave: 100, WatchS: 120}
+	return counting.Trial{Sample: 400, Calls: 250, DeadlineS: 120, WrongThousandths: 50, Rejected: 50, LetIn: 100,
+		Beyond: 100, Leave: 100, WatchS: 120}
 }
 
 func begin(r counting.Rule, seed uint64) *world {
-	w := &world{counter: counter{}, chance: rand.New(rand.NewPCG(seed, 3)), now: time.Hour, led: time.Hour, keep: map[string]uint64{}}
+	w := &world{counter: counter{}, chance: rand.New(rand.NewPCG(seed, 3)), now: time.Hour, led: time.Hour,
+		keep: map[string]uint64{}}
 	terms := &counting.Terms{Try: r.Version, Rules: []counting.Rule{r}, Canary: trial()}
 	w.decider = &Decider{Terms: func() *counting.Terms { return terms }, Lease: 2 * time.Second, Wait: time.Second,
 		Origin: time.Duration(seed%977) * time.Second}
-	w.site = counting.Plans(policy.Deployment{Gateways: 3, Lanes: []policy.Lane{{Name: "look", Gain: 1}, {Name: "pay", Gain: 2}},
+	w.site = counting.Plans(policy.Deployment{Gateways: 3, Lanes: site().Lanes,
 		Plans: []policy.Plan{{Name: "small", Rate: 0.5, Burst: 3}}}, terms.Rules)
 	for range 1200 { // most well within their plan, some at it, some far beyond
 		w.demand = append(w.demand, 0.25*math.Exp(0.7*w.chance.NormFloat64()))
@@ -78,10 +79,10 @@
 func (w *world) decide() {
 	value, write := w.decider.Decide(w.now, cluster.Seen{Sums: w.sums(), Since: w.led,
 		Held: func(string) tables.Entry { return w.table }})
+	was := w.value()
 	if !write {
 		return
 	}
-	was := w.value()
 	w.table = tables.Entry{Epoch: w.table.Epoch + 1, Value: value}
 	t := w.value()
 	if t.Phase == counting.Canary && was.Phase != counting.Canary {
@@ -117,10 +118,8 @@
 			for w.next[c] < w.now {
 				w.next[c] += time.Duration(w.chance.ExpFloat64() / w.demand[c] * 1e9)
 				p := w.plays[w.chance.IntN(len(w.plays))]
-				task := Task{Customer: uint64(c), Lane: w.chance.IntN(2), Units: 1}
-				before := p.counts[both] + p.counts[oldOnly]
-				after := p.counts[both] + p.counts[newOnly]
-				w.counter.run(p, w.now, p.Take(w.now, task))
+				before, after := p.counts[both]+p.counts[oldOnly], p.counts[both]+p.counts[newOnly]
+				w.counter.run(p, w.now, p.Take(w.now, Task{Customer: uint64(c), Lane: w.chance.IntN(2), Units: 1}))
 				in := p.counts[both]+p.counts[oldOnly] > before // the stand-in for the module's own word
 				if version := t.InForce(w.now + w.decider.Origin); version == t.To {
 					in = p.counts[both]+p.counts[newOnly] > after
@@ -141,7 +140,8 @@
 }
 
 func pairs(rate float64) counting.Rule {
-	r := counting.Rule{Version: 1, Key: []string{"group"}, Limits: []counting.Limit{{Plan: "*", Rate: rate, Burst: 6 * rate}}}
+	r := counting.Rule{Version: 1, Key: []string{"group"},
+		Limits: []counting.Limit{{Plan: "*", Rate: rate, Burst: 6 * rate}}}
 	for i := range uint64(600) {
 		r.Groups = append(r.Groups, counting.Group{Name: fmt.Sprint(i), Customers: []uint64{2 * i, 2*i + 1}})
 	}
@@ -149,12 +149,14 @@
 }
 
 func dear(thousandths uint64) counting.Rule {
-	return counting.Rule{Version: 1, Key: []string{"customer"}, Weights: []counting.Weight{{Lane: "pay", Thousandths: thousandths}}}
+	return counting.Rule{Version: 1, Key: []string{"customer"},
+		Weights: []counting.Weight{{Lane: "pay", Thousandths: thousandths}}}
 }
 
-var changes = map[string]counting.Rule{"as it is": limits(1), "5% more": limits(1.05), "5% less": limits(0.95), "10% less": limits(0.9),
-	"pairs": pairs(1), "pay 1.05": dear(1050), "40% less": limits(0.6), "half": limits(0.5), "triple": limits(3), "poor pairs": pairs(0.5),
-	"pay 2.5": dear(2500), "pay free": dear(1), "25% less": limits(0.75), "30% less": limits(0.7)}
+var changes = map[string]counting.Rule{"as it is": limits(1), "5% more": limits(1.05), "5% less": limits(0.95),
+	"10% less": limits(0.9), "pairs": pairs(1), "pay 1.05": dear(1050), "40% less": limits(0.6), "half": limits(0.5),
+	"triple": limits(3), "poor pairs": pairs(0.5), "pay 2.5": dear(2500), "pay free": dear(1), "25% less": limits(0.75),
+	"30% less": limits(0.7)}
 
 // quick are those of a short test.
 var quick = []string{"as it is", "pairs", "half", "poor pairs"}
@@ -217,11 +219,10 @@
 				defer func() { <-room; all.Done() }()
 				w := begin(r, uint64(i)+100)
 				w.pass(w.now+130*time.Second, w.judged)
-				why := w.value().Why
 				mu.Lock()
 				defer mu.Unlock()
 				spent += w.now - time.Hour
-				switch {
+				switch why := w.value().Why; {
 				case strings.HasPrefix(why, "harmless"):
 					lines[0]++
 					taken[harmful]++
@@ -235,11 +236,14 @@
 			}()
 		}
 		all.Wait()
-		t.Logf("%-10s harmful %5v (%.3f %.3f %.3f): taken, refused, undecided %v, %v in the mean", name, harmful, is[0], is[1], is[2],
+		t.Logf("%-10s harmful %5v (%.3f %.3f %.3f): taken, refused, undecided %v, %v in the mean", name, harmful,
+			is[0], is[1], is[2],
 			lines, (spent / time.Duration(each)).Round(time.Second))
 	}
-	t.Logf("harmful taken %d of %d, harmless refused %d of %d; undecided %v", taken[true], of[true], refused[false], of[false], undecided)
-	if *only == "" && taken[true]+refused[true] == 0 || taken[true]*20 > of[true] || refused[false]*20 > of[false] || *only == "" && taken[false] == 0 {
+	t.Logf("harmful taken %d of %d, harmless refused %d of %d; undecided %v", taken[true], of[true],
+		refused[false], of[false], undecided)
+	nothing := *only == "" && (refused[true] == 0 || taken[false] == 0)
+	if nothing || taken[true]*20 > of[true] || refused[false]*20 > of[false] {
 		t.Errorf("taken %v, refused %v: more than one in twenty wrong", taken, refused)
 	}
 }
--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -1,5 +1,5 @@
-// Package clerk has a gateway's tasks counted by the rule that the processes hold in common: it stands between the gate,
-// the counter and what is held. It decides nothing: counting says which rules hold, canary what a new one would do.
+// Package clerk has a gateway's tasks counted by the rule that the processes hold in common: it stands between the
+// gate, the counter and what is held. It decides nothing: counting says which rules hold, canary what a new one does.
 package clerk
 
 import (
@@ -156,7 +156,8 @@
 			c.log.Error("counting: the table cannot be read; what was held stands", zap.Error(err))
 		} else {
 			if t.Phase != c.table.Phase || t.To != c.table.To || t.From != c.table.From {
-				c.log.Info("counting: a step", zap.Uint8("phase", uint8(t.Phase)), zap.Uint64("from", t.From), zap.Uint64("to", t.To),
+				c.log.Info("counting: a step", zap.Uint8("phase", uint8(t.Phase)), zap.Uint64("from", t.From),
+					zap.Uint64("to", t.To),
 					zap.Time("edge", time.Unix(0, int64(t.Edge))), zap.String("why", t.Why))
 			}
 			c.table = t
@@ -178,7 +179,8 @@
 func (c *Clerk) held() bool { return c.commons.Now() < c.commons.Held(counting.Name).Until }
 
 func (c *Clerk) standing(now time.Duration, held bool) []uint64 {
-	return slices.DeleteFunc(c.table.Standing(now, held, c.epoch > 0, c.file), func(v uint64) bool { return c.fitted[v] == nil })
+	return slices.DeleteFunc(c.table.Standing(now, held, c.epoch > 0, c.file),
+		func(v uint64) bool { return c.fitted[v] == nil })
 }
 
 // Plans is for the gate.
--- a/internal/clerk/clerk_test.go
+++ b/internal/clerk/clerk_test.go
@@ -78,13 +78,16 @@
 	return units, ever
 }
 
-var group = counting.Rule{Version: 1, Key: []string{"group"}, Groups: []counting.Group{{Name: "both", Customers: []uint64{5, 6}}},
-	Weights: []counting.Weight{{Lane: "look", Thousandths: 2000}}, Limits: []counting.Limit{{Plan: "*", Rate: 0.1, Burst: 3}}}
+var group = counting.Rule{Version: 1, Key: []string{"group"},
+	Groups:  []counting.Group{{Name: "both", Customers: []uint64{5, 6}}},
+	Weights: []counting.Weight{{Lane: "look", Thousandths: 2000}},
+	Limits:  []counting.Limit{{Plan: "*", Rate: 0.1, Burst: 3}}}
 
 func begin(t *testing.T, with bool) *story {
 	t.Helper()
 	s := &story{T: t, count: map[uint64]float64{}, commons: &commons{start: time.Now(), changed: make(chan struct{})}}
-	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, HasCounter: true, CountLimit: time.Second, PushLimit: 5,
+	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, HasCounter: true,
+		CountLimit: time.Second, PushLimit: 5,
 		MaxRetryAfter: time.Second, RetryAfter: true, AnswerSlack: 8 * time.Millisecond, Settles: true,
 		Lanes: []policy.Lane{{Name: "look", SoftLimit: time.Second, Patience: 2 * time.Second, Gain: 1}},
 		Plans: []policy.Plan{{Name: "wide", Rate: 1, Burst: 300}}}
--- a/internal/counting/counting_test.go
+++ b/internal/counting/counting_test.go
@@ -13,10 +13,12 @@
 )
 
 func site() policy.Deployment {
-	return policy.Deployment{Gateways: 4, Halls: 1, Tick: time.Millisecond, HasCounter: true, CountLimit: time.Second, PushLimit: 3,
+	return policy.Deployment{Gateways: 4, Halls: 1, Tick: time.Millisecond, HasCounter: true,
+		CountLimit: time.Second, PushLimit: 3,
 		Lanes: []policy.Lane{{Name: "look", SoftLimit: time.Second, Patience: 2 * time.Second, Gain: 1},
 			{Name: "pay", SoftLimit: time.Second, Patience: 2 * time.Second, Gain: 2}},
-		Plans: []policy.Plan{{Name: "small", Rate: 2, Burst: 10}, {Name: "wide", Rate: 100, Burst: 400}, {Name: "out", AtOnce: 3}}}
+		Plans: []policy.Plan{{Name: "small", Rate: 2, Burst: 10}, {Name: "wide", Rate: 100, Burst: 400},
+			{Name: "out", AtOnce: 3}}}
 }
 
 const whole = `
@@ -128,7 +130,8 @@
 		t.Errorf("a plan without a rate: %+v", out)
 	}
 	a, b, alone := two.Count(1, 0, 0), two.Count(2, 1, 1), two.Count(9, 0, 0)
-	if a.Key != b.Key || a.Key == alone.Key || !a.Shared || d.Plans[b.Plan].Burst != 20 || d.Plans[alone.Plan].Burst != 20 {
+	if a.Key != b.Key || a.Key == alone.Key || !a.Shared || d.Plans[b.Plan].Burst != 20 ||
+		d.Plans[alone.Plan].Burst != 20 {
 		t.Errorf("by group: %+v, %+v, %+v", a, b, alone)
 	}
 	masked, _ := Fit(Rule{Version: 3, Key: []string{"group"}, Mask: 0xff00, Limits: []Limit{{"*", 1, 1}}}, d)
@@ -200,7 +203,8 @@
 }
 
 func TestTableIsReadAsWritten(t *testing.T) {
-	a := Table{Phase: Named, From: 1, To: 2, Edge: time.Hour, Rules: read(t, whole).Rules, Refused: []uint64{7}, Test: []byte{1}}
+	a := Table{Phase: Named, From: 1, To: 2, Edge: time.Hour, Rules: read(t, whole).Rules, Refused: []uint64{7},
+		Test: []byte{1}}
 	b, err := Decode(a.Encode())
 	if err != nil || b.Edge != a.Edge || !b.Rules[1].Same(a.Rules[1]) || b.Refused[0] != 7 {
 		t.Errorf("%+v, %v", b, err)
--- a/internal/counting/fit.go
+++ b/internal/counting/fit.go
@@ -96,7 +96,8 @@
 		}
 		f.plans, f.place = append(f.plans, xxhash.Sum64String(p.Name)), append(f.place, place)
 		if place >= 0 && !f.has[0] && (p.AtOnce > 0 || p.CeilingRate > 0) && !p.Closed {
-			return nil, fmt.Errorf("rule %d must have customer in its key: plan %q limits each customer's pushes out, or has a ceiling",
+			return nil, fmt.Errorf("rule %d must have customer in its key: plan %q limits each customer's"+
+				" pushes out, or has a ceiling",
 				r.Version, p.Name)
 		}
 	}
--- a/internal/counting/rule.go
+++ b/internal/counting/rule.go
@@ -116,8 +116,9 @@
 	within("canary.sample", c.Sample, 1, sampleMost)
 	within("canary.calls", c.Calls, 1, callsMost)
 	if c.Calls < callsTimes*c.Sample {
-		fault("canary.calls", "must be %d times canary.sample or more, %d, not %d: else tasks are played without a total and no rule"+
-			" is taken", callsTimes, callsTimes*c.Sample, c.Calls)
+		fault("canary.calls",
+			"must be %d times canary.sample or more, %d, not %d: else tasks are played"+
+				" without a total and no rule is taken", callsTimes, callsTimes*c.Sample, c.Calls)
 	}
 	within("canary.deadline_s", c.DeadlineS, deadlineLow, deadlineHigh)
 	within("canary.wrong", c.WrongThousandths, 1, wrongMost)
@@ -171,13 +172,15 @@
 	lanes, plans := map[string]bool{}, map[string]bool{}
 	for _, w := range r.Weights {
 		if w.Lane == "" || lanes[w.Lane] || w.Thousandths < 1 || w.Thousandths > weightMost {
-			fault("weight must name a lane once, with thousandths from 1 to %d, not %q with %d", weightMost, w.Lane, w.Thousandths)
+			fault("weight must name a lane once, with thousandths from 1 to %d, not %q with %d", weightMost, w.Lane,
+				w.Thousandths)
 		}
 		lanes[w.Lane] = true
 	}
 	for _, l := range r.Limits {
 		if l.Plan == "" || plans[l.Plan] || !(l.Rate > 0 && l.Rate < 1e12) || !(l.Burst > 0 && l.Burst < 1e12) {
-			fault("limit must name a plan once (or \"*\"), with rate and burst above 0, not %q with %v and %v", l.Plan, l.Rate, l.Burst)
+			fault("limit must name a plan once (or \"*\"), with rate and burst above 0, not %q with %v and %v", l.Plan,
+				l.Rate, l.Burst)
 		}
 		plans[l.Plan] = true
 	}
--- a/internal/counting/table.go
+++ b/internal/counting/table.go
@@ -101,5 +101,6 @@
 	}
 	slices.Sort(all[1:])
 	first := all[0]
-	return append([]uint64{first}, slices.DeleteFunc(slices.Compact(all[1:]), func(v uint64) bool { return v == first })...)
+	return append([]uint64{first}, slices.DeleteFunc(slices.Compact(all[1:]),
+		func(v uint64) bool { return v == first })...)
 }
--- a/internal/gate/counts.go
+++ b/internal/gate/counts.go
@@ -27,7 +27,8 @@
 	// Wait asks the other counts that the task has to pass, nil where there are none. It calls then once, from another
 	// goroutine, without the gate's lock.
 	Wait func(then func(pass bool))
-	// Over is told once, when the task has its final answer: whether it was pushed, and its true weighted units (0: not told).
+	// Over is told once, when the task has its final answer: whether it was pushed, and its true weighted units (0: not
+	// told).
 	Over func(pushed bool, units float64)
 
 	billed float64
--- a/internal/lab/counts/counts_test.go
+++ b/internal/lab/counts/counts_test.go
@@ -10,8 +10,8 @@
 var many = flag.Uint64("many", 25, "schedules of faults around a switch")
 var seed = flag.Uint64("seed", 3, "of the canary's world")
 
-// slack is what a count may be passed by, in bursts: the one more that a window's edge gives, and one for what the count
-// lags and the module's lots. Without fault the module passes a limit by up to 1.4 (docs/counting-rules.md).
+// slack is what a count may be passed by, in bursts: the one more that a window's edge gives, and one for what the
+// count lags and the module's lots. Without fault the module passes a limit by up to 1.4 (docs/counting-rules.md).
 const slack = 2.0
 
 func TestNoCountPassesItsLimitAroundASwitch(t *testing.T) {
@@ -71,13 +71,16 @@
 		return counting.Rule{Version: 1, Key: []string{"customer"},
 			Limits: []counting.Limit{{Plan: "small", Rate: 0.5 * part, Burst: 5 * part}}}
 	}
-	for name, r := range map[string]counting.Rule{"the same": limit(1), "half": limit(0.5), "twice": limit(2), "pairs share one plan": pairs,
-		"pay weighs 2": {Version: 1, Key: []string{"customer"}, Weights: []counting.Weight{{Lane: "pay", Thousandths: 2000}}}} {
+	for name, r := range map[string]counting.Rule{"the same": limit(1), "half": limit(0.5), "twice": limit(2),
+		"pairs share one plan": pairs,
+		"pay weighs 2": {Version: 1, Key: []string{"customer"}, Weights: []counting.Weight{{Lane: "pay",
+			Thousandths: 2000}}}} {
 		f, err := Foretold(*seed, r)
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Logf("%-20s let in %.3f before, %.3f foretold, %.3f seen (%.0f%% off); %.2f calls of the play a task", name, f.Before, f.Told, f.Seen,
+		t.Logf("%-20s let in %.3f before, %.3f foretold, %.3f seen (%.0f%% off); %.2f calls of the play a task", name,
+			f.Before, f.Told, f.Seen,
 			100*(f.Told/f.Seen-1), f.Calls)
 		if off := f.Told/f.Seen - 1; max(off, -off) > 0.1 {
 			t.Errorf("%s: %.3f foretold, %.3f seen", name, f.Told, f.Seen)
--- a/internal/lab/counts/fleet.go
+++ b/internal/lab/counts/fleet.go
@@ -80,8 +80,9 @@
 }
 
 func newFleet(seed uint64, d policy.Deployment, rules []counting.Rule) *Fleet {
-	f := &Fleet{chance: rand.New(rand.NewPCG(seed, 11)), now: time.Hour, counter: map[uint64]float64{}, charged: map[uint64]float64{},
-		fitted: map[uint64]*counting.Fitted{}, site: counting.Plans(d, rules), table: counting.Table{Rules: rules}}
+	f := &Fleet{chance: rand.New(rand.NewPCG(seed, 11)), now: time.Hour, counter: map[uint64]float64{},
+		charged: map[uint64]float64{},
+		fitted:  map[uint64]*counting.Fitted{}, site: counting.Plans(d, rules), table: counting.Table{Rules: rules}}
 	for _, r := range append([]counting.Rule{{}}, rules...) {
 		f.fitted[r.Version], _ = counting.Fit(r, f.site)
 	}
@@ -212,7 +213,8 @@
 		n.final(t.id)
 		return
 	}
-	n.module.Take(n.now, policy.Task{ID: t.id, Lane: t.lane, Plan: t.count.Plan, Customer: t.count.Key, Width: n.site.Gateways,
+	n.module.Take(n.now, policy.Task{ID: t.id, Lane: t.lane, Plan: t.count.Plan, Customer: t.count.Key,
+		Width: n.site.Gateways,
 		Units: t.count.Weight, Expires: t.expires})
 }
 
--- a/internal/lab/counts/host.go
+++ b/internal/lab/counts/host.go
@@ -20,7 +20,8 @@
 		}
 		t.billed = weight
 		n.final(id)
-		n.module.Ended(n.now, policy.Push{Task: id, Server: server, Outcome: policy.Answered, Took: 40 * time.Millisecond, Done: true,
+		n.module.Ended(n.now, policy.Push{Task: id, Server: server, Outcome: policy.Answered,
+			Took: 40 * time.Millisecond, Done: true,
 			Billed: weight})
 	})
 }
--- a/internal/lab/counts/switch.go
+++ b/internal/lab/counts/switch.go
@@ -43,7 +43,10 @@
 	f.after(time.Second, come)
 	f.after(3*time.Second, func() { f.table.Phase, f.table.To = counting.Canary, 1 })
 	f.after(6*time.Second, func() { f.table.Phase, f.table.Edge = counting.Named, f.now+lead })
-	f.after(16*time.Second, func() { f.table.Phase, f.table.From, f.table.To, f.table.Edge = counting.Back, 1, 0, f.now+lead })
+	f.after(16*time.Second, func() {
+		f.table.Phase, f.table.From, f.table.To, f.table.Edge = counting.Back, 1, 0,
+			f.now+lead
+	})
 	for _, n := range f.nodes[:2] { // never a majority of four
 		if calm {
 			break
@@ -63,7 +66,10 @@
 	}
 	stores := map[uint64]store{}
 	truth := counting.Table{Phase: counting.Named, From: 0, To: 1, Edge: time.Hour + 10*time.Second}
-	for _, t := range slices.SortedFunc(slices.Values(f.tasks), func(a, b *task) int { return cmp.Compare(a.sent, b.sent) }) {
+	for _, t := range slices.SortedFunc(slices.Values(f.tasks), func(a, b *task) int {
+		return cmp.Compare(a.sent,
+			b.sent)
+	}) {
 		if !t.pushed {
 			continue
 		}
@@ -83,7 +89,8 @@
 
 // around is a site of four gateways without plans.
 func around() policy.Deployment {
-	return policy.Deployment{Gateways: 4, Halls: 1, Tick: time.Millisecond, HasCounter: true, CountLimit: time.Second, PushLimit: 3,
+	return policy.Deployment{Gateways: 4, Halls: 1, Tick: time.Millisecond, HasCounter: true,
+		CountLimit: time.Second, PushLimit: 3,
 		Lanes: []policy.Lane{{Name: "look", SoftLimit: time.Second, Patience: 2 * time.Second, Gain: 1},
 			{Name: "pay", SoftLimit: time.Second, Patience: 2 * time.Second, Gain: 2}}}
 }
@@ -112,7 +119,8 @@
 func Tight() (policy.Deployment, counting.Rule) {
 	d := around()
 	d.Plans = []policy.Plan{{Name: "small", Rate: 10, Burst: 20}}
-	return d, counting.Rule{Version: 1, Key: []string{"group"}, Groups: []counting.Group{{Name: "all", Customers: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}},
+	return d, counting.Rule{Version: 1, Key: []string{"group"}, Groups: []counting.Group{{Name: "all",
+		Customers: []uint64{1, 2, 3, 4, 5, 6, 7, 8}}},
 		Limits: []counting.Limit{{Plan: "*", Rate: 10, Burst: 20}}}
 }
 
