Counting: past a lease all rules stand that may have come, by a drawn history

A process that slept through two switches knew of neither; the rule before, and the file's others, stand too now. The check over drawn histories finds an edge nearer than a lease.

--- a/internal/counting/counting_test.go
+++ b/internal/counting/counting_test.go
@@ -187,14 +187,13 @@
 	}{
 		{named, 99, true, true, []uint64{0}},
 		{named, 100, true, true, []uint64{1}},
-		{named, 99, false, true, []uint64{0}},        // what was committed is not taken back before its edge
-		{named, 100, false, true, []uint64{1, 0, 5}}, // undone meanwhile, or followed by the file's next
-		{Table{Phase: Canary, To: 5}, 50, false, true, []uint64{0, 5}},
+		{named, 99, false, true, []uint64{0}},           // what was committed is not taken back before its edge
+		{named, 100, false, true, []uint64{1, 0, 4, 5}}, // undone meanwhile, or followed by one that the file knows
+		{Table{Phase: Canary, To: 5}, 50, false, true, []uint64{0, 4, 5}},
 		{Table{Phase: Canary, To: 5}, 50, true, true, []uint64{0}},
-		{Table{}, 50, false, false, []uint64{0, 4, 5}}, // started anew: any may hold
-		{Table{}, 50, false, true, []uint64{0, 5}},
-		{Table{Refused: []uint64{5}}, 50, false, true, []uint64{0}},
-		{Table{Phase: Back, From: 1, To: 0, Edge: 100, Refused: []uint64{5}}, 100, false, true, []uint64{0, 1}},
+		{Table{}, 50, false, false, []uint64{0, 4, 5}},                                 // started anew: any may hold
+		{Table{From: 4, To: 4, Refused: []uint64{5}}, 50, false, true, []uint64{4, 0}}, // operators may go back
+		{Table{Phase: Back, From: 1, To: 0, Edge: 100, Refused: []uint64{4, 5}}, 100, false, true, []uint64{0, 1}},
 	} {
 		if got := c.table.Standing(c.at, c.held, c.heard, file); !slices.Equal(got, c.want) {
 			t.Errorf("%d: %v, want %v", i+1, got, c.want)
--- a/internal/counting/table.go
+++ b/internal/counting/table.go
@@ -86,18 +86,16 @@
 func (t *Table) Standing(at time.Duration, held, heard bool, file *Terms) []uint64 {
 	all := []uint64{t.InForce(at)}
 	moved := t.Phase == Named || t.Phase == Back
-	switch {
-	case held || moved && at < t.Edge: // no switch is taken back before its edge
+	if held || moved && at < t.Edge { // no switch is taken back before its edge
 		return all
-	case !heard:
-		for _, r := range file.Rules {
+	}
+	if heard {
+		all = append(all, t.From, t.To, t.Was)
+	}
+	for _, r := range append([]Rule{{Version: file.Try}}, file.Rules...) {
+		if !heard || !slices.Contains(t.Refused, r.Version) {
 			all = append(all, r.Version)
 		}
-	case t.Phase != Still:
-		all = append(all, t.From, t.To)
-	}
-	if !slices.Contains(t.Refused, file.Try) {
-		all = append(all, file.Try)
 	}
 	slices.Sort(all[1:])
 	first := all[0]
