--- a/internal/lab/counts/counts_test.go
+++ b/internal/lab/counts/counts_test.go
@@ -8,6 +8,7 @@
 )
 
 var many = flag.Uint64("many", 25, "schedules of faults around a switch")
+var gateways = flag.Int("gateways", 4, "in the canary's world")
 var seed = flag.Uint64("seed", 3, "of the canary's world")
 
 // slack is what a count may be passed by, in bursts: the one more that a window's edge gives, and one for what the
@@ -75,7 +76,7 @@
 		"pairs share one plan": pairs,
 		"pay weighs 2": {Version: 1, Key: []string{"customer"}, Weights: []counting.Weight{{Lane: "pay",
 			Thousandths: 2000}}}} {
-		f, err := Foretold(*seed, r)
+		f, err := Foretold(*seed, *gateways, r)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/counts/foretold.go
+++ b/internal/lab/counts/foretold.go
@@ -16,10 +16,12 @@
 	Calls              float64 // of the play, a task of the fleet
 }
 
-// Foretold plays a canary beside four gateways with the module itself for two minutes, then switches to the rule.
-func Foretold(seed uint64, r counting.Rule) (c Forecast, err error) {
+// Foretold plays a canary beside so many gateways with the module itself for two minutes, then switches to the rule.
+// Its 300 customers come through any of them.
+func Foretold(seed uint64, gateways int, r counting.Rule) (c Forecast, err error) {
 	d := around()
 	d.Plans = []policy.Plan{{Name: "small", Rate: 0.5, Burst: 5}}
+	d.Gateways = gateways
 	f := newFleet(seed, d, []counting.Rule{r})
 	sample, err := canary.NewSample(counting.Rule{}, r, seed, 300)
 	if err != nil {
@@ -44,7 +46,6 @@
 		if f.table.Phase == counting.Canary {
 			plays[n].Earn(12) // as much as a sample of one key in 25 would have
 			run(n, plays[n].Take(n.now, canary.Task{Customer: k.customer, Lane: k.lane, Units: 1}))
-			run(n, plays[n].Due(n.now))
 		}
 	}
 	f.over = func(_ *node, k *task) {
@@ -66,6 +67,16 @@
 		}
 		f.after(time.Duration(f.chance.ExpFloat64()*each), come)
 	}
+	var tick func()
+	tick = func() {
+		for _, n := range f.nodes {
+			run(n, plays[n].Due(f.now))
+		}
+		if f.table.Phase == counting.Canary {
+			f.after(250*time.Millisecond, tick)
+		}
+	}
+	f.after(11*time.Second, tick)
 	f.after(10*time.Second, func() { f.table.Phase, f.table.To = counting.Canary, 1 })
 	f.after(140*time.Second, func() { f.table.Phase, f.table.Edge = counting.Named, f.now+lead })
 	f.run(time.Hour + 250*time.Second)
