--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -45,6 +45,15 @@
 	return r, g, err
 }
 
+// pushing is a deployment whose gate pushes a task to any server that is ready.
+func pushing() policy.Deployment {
+	return policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, PushLimit: 5,
+		AnswerSlack: 8 * time.Millisecond, TipAfter: time.Second, DrainGrace: time.Second,
+		Lanes: []policy.Lane{{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second,
+			Effect: policy.Pure}},
+		Plans: []policy.Plan{{Name: "open"}}}
+}
+
 func TestEntriesAreRead(t *testing.T) {
 	r := &Roster{halls: []string{"a", "hall-a"}, kinds: []string{"m1", "m2"}}
 	l, err := r.decode([]byte(standin.List(41, true, standin.Host("s-1", "1.2.3.4:5", "in_service"),
@@ -100,6 +109,7 @@
 }
 
 func TestDiscoveryThatIsNotThereIsAskedAgain(t *testing.T) {
+	t.Parallel()
 	l := standin.Listen(t)
 	if _, err := begin(t, l.Addr().String(), standin.List(1, true)); err != nil {
 		t.Fatal(err)
@@ -141,6 +151,7 @@
 // second they kept it overbooked (eight calls each in four seconds, sixteen with the doubled wake). Backing off
 // with jitter they make four or five.
 func TestFleetTurnedAwayBacksOff(t *testing.T) {
+	t.Parallel()
 	const gateways, lasting = 40, 4 * time.Second
 	addr, calls := refusing(t, math.MaxInt64)
 	for range gateways {
@@ -156,6 +167,7 @@
 
 // Backing off does not keep a gateway from the list once discovery answers again.
 func TestListIsHadOnceDiscoveryAnswersAgain(t *testing.T) {
+	t.Parallel()
 	addr, _ := refusing(t, 2)
 	r, err := begin(t, addr, "null")
 	if err != nil {
@@ -172,13 +184,8 @@
 // nothing to push to, and every task was rejected. The last list stands, and the log says so once.
 func TestEmptyWholeListLeavesTheLastStanding(t *testing.T) {
 	d := standin.NewDiscovery(t, standin.Host("s-1", "127.0.0.1:9", "in_service"))
-	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, PushLimit: 5,
-		AnswerSlack: 8 * time.Millisecond, TipAfter: time.Second, DrainGrace: time.Second,
-		Lanes: []policy.Lane{{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second,
-			Effect: policy.Pure}},
-		Plans: []policy.Plan{{Name: "open"}}}
 	seen, logs := observer.New(zap.InfoLevel)
-	r, g, err := beginWith(t, site, d.Addr, "null", zap.New(seen))
+	r, g, err := beginWith(t, pushing(), d.Addr, "null", zap.New(seen))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,19 +206,15 @@
 
 // A discovery that answers with what is no list: the last list stands, and the log says so once however often.
 func TestMalformedListLeavesTheLastStandingSaidOnce(t *testing.T) {
+	t.Parallel()
 	l := standin.Listen(t)
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, `{"seq":1,"hosts":7}`)
 	})}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	site := policy.Deployment{Gateways: 1, Halls: 1, Tick: 2 * time.Millisecond, PushLimit: 5,
-		AnswerSlack: 8 * time.Millisecond, TipAfter: time.Second, DrainGrace: time.Second,
-		Lanes: []policy.Lane{{Name: "look", SoftLimit: 600 * time.Millisecond, Patience: 2 * time.Second,
-			Effect: policy.Pure}},
-		Plans: []policy.Plan{{Name: "open"}}}
 	seen, logs := observer.New(zap.InfoLevel)
-	_, g, err := beginWith(t, site, l.Addr().String(),
+	_, g, err := beginWith(t, pushing(), l.Addr().String(),
 		standin.List(1, true, standin.Host("s-1", "127.0.0.1:9", "in_service")), zap.New(seen))
 	if err != nil {
 		t.Fatal(err)
