Asked to end, a connection ends with an answer and crosses no task

A client that asks at once after an answer lost tasks after SIGTERM: the connection was reset some microseconds after the answer had been written, in answer() and in clear(), while the next task was being sent.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -62,7 +62,12 @@
 func (c *client) answer(turn uint, write func() error) {
 	c.order.StartResponse(turn)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(talkMost))
-	err := write()
+	var err error
+	if c.front.closing.Load() {
+		err = c.last(write)
+	} else {
+		err = write()
+	}
 	c.order.EndResponse(turn)
 	<-c.turns
 	c.mu.Lock()
@@ -71,8 +76,6 @@
 	c.mu.Unlock()
 	if err != nil {
 		_ = c.conn.Close()
-	} else if c.front.closing.Load() {
-		c.leave()
 	}
 }
 
