--- a/cmd/harrierhoist/main_test.go
+++ b/cmd/harrierhoist/main_test.go
@@ -107,7 +107,8 @@
 	entry := standin.Host("s-1", w.server.Addr, "in_service")
 	w.discovery = standin.NewDiscovery(t, entry)
 	w.config = filepath.Join(t.TempDir(), "config.json")
-	w.cmd, w.log = launch(t, w.config, fmt.Sprintf(told, w.addr, w.discovery.Addr, w.counter.Addr, sockets, standin.List(1, true, entry)))
+	w.cmd, w.log = launch(t, w.config, fmt.Sprintf(told, w.addr, w.discovery.Addr, w.counter.Addr, sockets,
+		standin.List(1, true, entry)))
 	standin.Eventually(t, "ready", func() bool {
 		c, err := net.Dial("tcp", w.addr)
 		if err != nil {
--- a/internal/front/parse.go
+++ b/internal/front/parse.go
@@ -81,7 +81,8 @@
 		return t, nil, "-ERR wrong number of words"
 	}
 	var err error
-	if t.Customer, err = strconv.ParseUint(cmd.Words[1], 16, 64); err != nil || len(cmd.Words[1]) != 16 || t.Customer >= customers {
+	t.Customer, err = strconv.ParseUint(cmd.Words[1], 16, 64)
+	if err != nil || len(cmd.Words[1]) != 16 || t.Customer >= customers {
 		return t, nil, "-ERR no customer"
 	}
 	e := &fleet.Parcel{Verb: verb, Customer: cmd.Words[1], ID: cmd.Words[2], Body: cmd.Body}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -27,7 +27,8 @@
 }
 
 // beginWith starts a roster that feeds a gate of its own for the deployment, and returns both.
-func beginWith(t *testing.T, site policy.Deployment, discovery, known string, log *zap.Logger) (*Roster, *gate.Gate, error) {
+func beginWith(t *testing.T, site policy.Deployment, discovery, known string,
+	log *zap.Logger) (*Roster, *gate.Gate, error) {
 	t.Helper()
 	g, err := gate.New(site, 1, gate.Outside{}, log)
 	if err != nil {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -26,8 +26,8 @@
 
 // Host writes an entry of the list.
 func Host(name, dial, health string) string {
-	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"hall-a","class":"m2","block":1,"health":%q,"share":1.0,"born_ms":0}`,
-		name, dial, health)
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"hall-a","class":"m2","block":1,"health":%q,"share":1.0,`+
+		`"born_ms":0}`, name, dial, health)
 }
 
 // NewDiscovery starts one with a first list.
