--- a/internal/canary/trial.go
+++ b/internal/canary/trial.go
@@ -70,10 +70,4 @@
 	return x, err
 }
 
-func (x *Test) encode() []byte {
-	b, err := cbor.Marshal(x)
-	if err != nil {
-		panic(err) // plain numbers
-	}
-	return b
-}
+func (x *Test) encode() []byte { return counting.Marshal(x) }
--- a/internal/counting/table.go
+++ b/internal/counting/table.go
@@ -49,10 +49,21 @@
 }
 
 // Encode writes it.
-func (t Table) Encode() []byte {
-	b, err := cbor.Marshal(t)
+func (t Table) Encode() []byte { return Marshal(t) }
+
+var mode = func() cbor.EncMode {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the library's own options
+	}
+	return m
+}()
+
+// Marshal writes a value of plain numbers, words, lists and maps: the same value, the same bytes.
+func Marshal(v any) []byte {
+	b, err := mode.Marshal(v)
 	if err != nil {
-		panic(err) // plain numbers and words
+		panic(err) // nothing else is in it
 	}
 	return b
 }
