--- a/internal/clerk/clerk_test.go
+++ b/internal/clerk/clerk_test.go
@@ -51,7 +51,7 @@
 	c.changed = make(chan struct{})
 }
 
-// story is a gate with a clerk, one server, and a counter that answers at once and writes down.
+// story is a gate with a clerk, one server, and a counter that answers at once.
 type story struct {
 	*testing.T
 	*commons
@@ -60,14 +60,18 @@
 	mu    sync.Mutex
 	count map[uint64]float64
 	names []uint64 // in the order of the calls
+	mute  bool     // it answers no more
 }
 
 func (s *story) add(name uint64, units float64, _ time.Duration, told func(float64, policy.Outcome)) {
 	s.mu.Lock()
 	s.count[name] += units
 	s.names = append(s.names, name)
-	total := s.count[name]
+	total, mute := s.count[name], s.mute
 	s.mu.Unlock()
+	if mute {
+		return
+	}
 	go told(total, policy.Answered)
 }
 
@@ -136,10 +140,10 @@
 			t.Fatal("a task within its plan is rejected")
 		}
 	}
-	plain.mu.Lock()
-	defer plain.mu.Unlock()
-	with.mu.Lock()
-	defer with.mu.Unlock()
+	for _, s := range []*story{plain, with} {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+	}
 	seen := map[uint64]bool{}
 	for _, n := range plain.names {
 		seen[n] = true
@@ -186,15 +190,9 @@
 func TestPastTheLeaseBothRulesMustAllow(t *testing.T) {
 	s := begin(t, true)
 	s.hold(counting.Table{Phase: counting.Canary, To: 1, Rules: []counting.Rule{group}}, false)
-	pushed := 0
-	for range 4 {
-		if s.one(5) {
-			pushed++
-		}
-	}
 	name := s.name(1, 5)
-	if pushed != 1 {
-		t.Errorf("%d pushed where the group's count holds one", pushed)
+	if !s.one(5) || s.one(5) || s.one(5) {
+		t.Error("not one alone is pushed, where the group's count holds one")
 	}
 	standin.Eventually(t, "units given back", func() bool { units, _ := s.asked(name); return units < 2.5 })
 	if units, _ := s.asked(name); units < 2 {
@@ -206,6 +204,21 @@
 	}
 }
 
+// The counter falls silent while both rules must allow: no task waits for it longer than a part of its soft limit, and
+// each has its final answer.
+func TestSilentCounterHoldsNoTaskUp(t *testing.T) {
+	s := begin(t, true)
+	s.hold(counting.Table{Phase: counting.Canary, To: 1, Rules: []counting.Rule{group}}, false)
+	s.mute = true
+	at := time.Now()
+	if first, second := s.one(5), s.one(5); !first || second {
+		t.Errorf("pushed %v and %v where the group's limit holds one", first, second)
+	}
+	if time.Since(at) > 2*time.Second {
+		t.Errorf("two tasks took %v", time.Since(at))
+	}
+}
+
 // A canary asks under names of its own, and rejects nobody: the new rule alone would have.
 func TestCanaryTouchesNoTask(t *testing.T) {
 	s := begin(t, true)
--- a/internal/counting/counting_test.go
+++ b/internal/counting/counting_test.go
@@ -215,3 +215,29 @@
 		t.Error("took a spoilt value")
 	}
 }
+
+// Without an answer a process passes its even share of a limit; what may have been added is never taken off again.
+func TestSecondDeskWithoutACounter(t *testing.T) {
+	plan := policy.Plan{Rate: 0.1, Burst: 8}
+	s, at := NewSecond(4), time.Hour
+	at = At(7, &plan, at).Start + time.Second // a window's beginning, whatever the hour
+	passed := 0
+	for range 8 {
+		h := s.Ask(Count{Key: 7, Weight: 1}, plan, 1, at)
+		if pass, _ := s.Told(h, 0, false); pass {
+			passed++
+		}
+	}
+	if passed != 2 {
+		t.Errorf("%d of 8 passed for a quarter of the limit", passed)
+	}
+	h := s.Ask(Count{Key: 7, Weight: 3}, plan, 1, at)
+	for added, want := range map[Added]float64{Unknown: 0, Yes: -3, No: 0} {
+		if got := s.Settle(h, false, 0, added); got != want {
+			t.Errorf("added %d: %v given back, not %v", added, got, want)
+		}
+	}
+	if got := s.Settle(h, true, 5, Yes); got != 2 {
+		t.Errorf("%v charged beyond the three held, not 2", got)
+	}
+}
--- a/internal/counting/desk.go
+++ b/internal/counting/desk.go
@@ -55,7 +55,7 @@
 type seen struct {
 	at   time.Duration // of the latest total
 	room float64       // that it left, less what passed here since
-	used float64       // what passed here in the window
+	own  float64       // that this process's share of the limit holds
 	nth  int64         // the window
 }
 
@@ -94,15 +94,14 @@
 func (s *Second) Told(h Hold, total float64, read bool) (pass bool, before *Window) {
 	k := s.seen[h.key]
 	if k == nil {
-		k = &seen{at: h.at, room: h.plan.Burst, nth: -1}
+		k = &seen{at: h.at, room: h.plan.Burst, own: h.plan.Burst * s.share, nth: -1}
 		s.seen[h.key] = k
 	}
-	fresh := k.nth != h.Nth
-	if fresh {
-		k.nth, k.used = h.Nth, 0
-	}
-	room := (h.plan.Burst+h.plan.Rate*(h.at-h.Start).Seconds())*s.share - k.used
-	k.room, k.at = min(k.room+h.plan.Rate*max(h.at-k.at, 0).Seconds(), h.plan.Burst), max(h.at, k.at)
+	fresh, since := k.nth != h.Nth, max(h.at-k.at, 0).Seconds()
+	k.nth, k.at = h.Nth, max(h.at, k.at)
+	k.room = min(k.room+h.plan.Rate*since, h.plan.Burst)
+	k.own = min(k.own+h.plan.Rate*since*s.share, h.plan.Burst*s.share)
+	room := min(k.own, k.room)
 	if read {
 		k.room = min(k.room, Room(&h.plan, h.Window, h.at, total-h.Units))
 		room = k.room
@@ -112,7 +111,7 @@
 		}
 	}
 	if pass = room >= h.Units-rounding; pass {
-		k.room, k.used = k.room-h.Units, k.used+h.Units
+		k.room, k.own = k.room-h.Units, max(k.own-h.Units, 0)
 	}
 	return pass, before
 }
