--- /dev/null
+++ b/internal/conformance/launch.go
@@ -0,0 +1,92 @@
+package conformance
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// config is what a gateway is told at its start, in its own form: the same deployment as site gives the module.
+func config(p *process, plan Plan) map[string]any {
+	type pairs = map[string]any
+	d := site(plan, p.width)
+	var classes []pairs
+	for _, l := range d.Lanes {
+		classes = append(classes, pairs{"Name": l.Name, "AimMs": l.SoftLimit.Milliseconds(),
+			"DeadlineMs": l.Patience.Milliseconds(), "Effect": "read_like", "Worth": l.Gain})
+	}
+	return pairs{
+		"name": "n0", "listen": p.addr, "discovery": p.discovery.Addr, "counter": p.counter.Addr,
+		"seed": fmt.Sprintf("%016x", seed), "limits": pairs{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"settings": pairs{
+			"Balancers": d.Gateways, "Me": 0, "MyZone": 0, "Dcs": []string{"hall-a"}, "Models": []string{"m2"},
+			"Discovery": "push", "TickMs": d.Tick.Milliseconds(),
+			"FamilyInfo": pairs{"HasCounter": d.HasCounter, "CountLimitMs": d.CountLimit.Milliseconds(), "Settles": d.Settles,
+				"MostUnits": d.MostUnits},
+			"Report": pairs{"Fields": []string{}, "How": "off"},
+			"PolicyLimits": pairs{"Cancelling": d.Cancelling, "TryLimit": d.PushLimit, "RetryAfter": d.RetryAfter,
+				"MaxRetryAfterMs": d.MaxRetryAfter.Milliseconds(), "ConnectTimeoutMs": 250, "IdleCloseMs": 30000,
+				"StreamsPerConn": 100},
+			"Rules": pairs{"AnswerSlackMs": d.AnswerSlack.Milliseconds(), "DrainGraceMs": d.DrainGrace.Milliseconds(),
+				"ColdFrom": d.ColdFrom, "WarmAfterMs": d.WarmAfter.Milliseconds(), "FallMultiple": d.FallMultiple,
+				"TipAfterMs": d.TipAfter.Milliseconds()},
+			"RequestClasses": classes,
+			"TiersOfService": []pairs{{"Name": plan.Name, "UnitsPerS": plan.Rate, "PeakUnits": plan.Burst}},
+		},
+	}
+}
+
+// talks notes, once each and in the order of their names, whom the process is connected with, by the system's tables.
+// Clients are left out: those are who came to its own address.
+func (p *process) talks() {
+	p.t.Helper()
+	own := map[string]bool{} // its sockets' numbers
+	links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.pid))
+	for _, l := range links {
+		if to, _ := os.Readlink(l); strings.HasPrefix(to, "socket:[") {
+			own[strings.Trim(to, "socket:[]")] = true
+		}
+	}
+	if len(own) == 0 {
+		p.t.Fatal("the process has no sockets")
+	}
+	names := map[string]string{p.counter.Addr: "counter", p.discovery.Addr: "discovery"}
+	for _, s := range p.servers {
+		names[s.Addr] = "server"
+	}
+	for _, a := range p.peers {
+		names[a] = "peer"
+	}
+	var with []string
+	for _, table := range []string{"tcp", "tcp6", "udp", "udp6"} {
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/%s", p.pid, table))
+		for _, line := range strings.Split(string(text), "\n")[1:] {
+			f := strings.Fields(line)
+			if len(f) < 10 || !own[f[9]] || endpoint(f[1]) == p.addr {
+				continue
+			}
+			name, known := names[endpoint(f[2])]
+			if !known {
+				name = "elsewhere " + table + " " + endpoint(f[2])
+			}
+			with = append(with, "talks "+name)
+		}
+	}
+	slices.Sort(with)
+	for _, line := range slices.Compact(with) {
+		p.seen.add(line)
+	}
+}
+
+// endpoint reads an address of the system's tables, as 0100007F:1F90; what it cannot read it gives as it is.
+func endpoint(text string) string {
+	var a, b, c, d byte
+	var port int
+	if n, _ := fmt.Sscanf(text, "%02X%02X%02X%02X:%04X", &d, &c, &b, &a, &port); n != 5 || len(text) != len("0100007F:1F90") {
+		return text
+	}
+	return fmt.Sprintf("%s:%d", net.IPv4(a, b, c, d), port)
+}
--- /dev/null
+++ b/internal/conformance/play.go
@@ -0,0 +1,94 @@
+package conformance
+
+import (
+	"strconv"
+	"testing"
+
+	"harrierhoist/policy"
+)
+
+// Variant is a way to make the gateway under test: plain, or with a part switched on, in one of its states. The same
+// rows are played with each of Variants.
+type Variant struct {
+	Name string
+	// Module makes the module behind a host; nil: no row is played against the module.
+	Module func(site policy.Deployment, seed int64, host policy.Host) (Module, error)
+	// Process readies a process before it starts; nil: no row is played against a process.
+	Process func(t testing.TB, p *Launch)
+}
+
+// Launch is how a process starts: a variant may add to it.
+type Launch struct {
+	Dir    string         // for files; gone with the test
+	Env    []string       // added to that of the test
+	Config map[string]any // of the gateway, as it is written in JSON
+	Peers  []string       // addresses that it may be connected with besides counter, discovery, servers and clients
+}
+
+// Variants are those that the tests play. A part that can be switched on adds one for each of its states.
+var Variants = []Variant{Plain}
+
+// Plain is the gateway as it is, with all parts off.
+var Plain = Variant{
+	Name: "plain",
+	Module: func(site policy.Deployment, seed int64, host policy.Host) (Module, error) {
+		return policy.New(site, seed, host)
+	},
+	Process: func(testing.TB, *Launch) {},
+}
+
+// player plays steps.
+type player interface {
+	do(s step)
+	// settled waits until what was seen is enough, or will not come any more, and gives it.
+	settled(enough func(lines [][]string) bool) *seen
+}
+
+// Play plays a row against the module and against a process, each where the row and the variant say so.
+func Play(t *testing.T, tables *Tables, row Row, v Variant) {
+	if row.at("module") && v.Module != nil {
+		t.Run("module", func(t *testing.T) { PlayModule(t, tables, row, v) })
+	}
+	if row.at("process") && v.Process != nil {
+		t.Run("process", func(t *testing.T) { PlayProcess(t, tables, row, v) })
+	}
+}
+
+// PlayModule plays a row against the module.
+func PlayModule(t testing.TB, tables *Tables, row Row, v Variant) {
+	t.Helper()
+	play(t, tables, row, func(p Plan) player { return newModule(t, row, p, v) })
+}
+
+// PlayProcess plays a row against a process of the program.
+func PlayProcess(t testing.TB, tables *Tables, row Row, v Variant) {
+	t.Helper()
+	play(t, tables, row, func(p Plan) player { return newProcess(t, row, p, v) })
+}
+
+func play(t testing.TB, tables *Tables, row Row, make func(Plan) player) {
+	t.Helper()
+	plan, err := tables.plan(row.Plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := make(plan)
+	steps := func(texts []string) {
+		for _, text := range texts {
+			s, err := read(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.do(s)
+		}
+	}
+	steps(row.Given)
+	before := len(p.settled(func([][]string) bool { return true }).from(0))
+	steps(row.Event)
+	lines := p.settled(func(lines [][]string) bool { return len(follows(lines[before:], row)) == 0 }).from(before)
+	for _, wrong := range judge(lines, row, tables.Never) {
+		t.Errorf("%s: %s\nseen: %s", row.Text, wrong, told(lines))
+	}
+}
+
+func decimal(id uint32) string { return strconv.FormatUint(uint64(id), 10) }
--- /dev/null
+++ b/internal/conformance/process.go
@@ -0,0 +1,171 @@
+package conformance
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"harrierhoist/internal/standin"
+)
+
+const (
+	far       = 10 * time.Second       // or half a window: no edge comes so soon, unless the row crosses one
+	nearLeast = 2 * time.Second        // an edge that a row crosses comes no sooner,
+	nearMost  = 3 * time.Second        // and no later
+	beyond    = 20 * time.Millisecond  // after an edge: clocks are read a little apart
+	quiet     = 100 * time.Millisecond // with nothing seen: nothing more comes by itself
+	soonest   = 10 * time.Second       // what a row waits for is long since there, or never comes
+	othersKey = "1"                    // how long our own calls have a name kept: gateways never ask for as little
+)
+
+// program builds the program once for all rows; Clean removes it.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "conformance")
+	if err != nil {
+		return "", err
+	}
+	built = dir
+	path := filepath.Join(dir, "harrierhoist")
+	out, err := exec.Command("go", "build", "-o", path, "harrierhoist/cmd/harrierhoist").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+var built string
+
+// Clean removes what was built. Call it when all tests have ended.
+func Clean() {
+	if built != "" {
+		_ = os.RemoveAll(built)
+	}
+}
+
+// process is a row's play against a running gateway: stand-ins note what reaches them, clients what they are answered.
+type process struct {
+	t         testing.TB
+	seen      seen
+	windows   windows
+	plan      string
+	width     int
+	addr      string
+	pid       int
+	peers     []string
+	counter   *standin.Counter
+	discovery *standin.Discovery
+	servers   []*standin.Server
+	letGo     func() // of the counter; nil: it answers
+	mu        sync.Mutex
+	answers   map[int]chan float64 // by task: the units to report
+}
+
+func newProcess(t testing.TB, row Row, plan Plan, v Variant) *process {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	free := standin.Listen(t)
+	p := &process{t: t, plan: plan.Name, width: max(row.Gateways, 1), addr: free.Addr().String(),
+		counter: standin.NewCounter(t), answers: map[int]chan float64{}}
+	_ = free.Close()
+	var hosts []string
+	for i := range servers {
+		p.servers = append(p.servers, standin.NewServer(t, p.served))
+		hosts = append(hosts, standin.Host(fmt.Sprintf("s-%d", i), p.servers[i].Addr, "in_service"))
+	}
+	p.discovery = standin.NewDiscovery(t, hosts...)
+	l := Launch{Dir: t.TempDir(), Config: config(p, plan)}
+	l.Config["known"] = json.RawMessage(standin.List(1, true, hosts...))
+	v.Process(t, &l)
+	p.peers = l.Peers
+	text, err := json.Marshal(l.Config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(l.Dir, "config.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	log := filepath.Join(l.Dir, "log")
+	out, err := os.Create(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(path)
+	cmd.Env = append(append(os.Environ(), "RELAY_CONFIG="+file), l.Env...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.pid = cmd.Process.Pid
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if text, _ := os.ReadFile(log); t.Failed() {
+			t.Logf("the gateway's log: %s", text)
+		}
+	})
+	standin.Eventually(t, "ready", func() bool { return p.ask(standin.Command("PING")) == "+PONG" })
+	p.choose(plan, row.Crosses)
+	p.counter.Watch(p.called)
+	return p
+}
+
+// choose takes a customer whose windows change soon or not, as the row needs it.
+func (p *process) choose(plan Plan, crosses bool) {
+	for c := uint64(customer); ; c++ {
+		p.windows = windowsOf(c, plan)
+		edge := p.windows.edge(clock())
+		if crosses && edge > nearLeast && edge < nearMost || !crosses && edge > min(far, p.windows.length/2) {
+			return
+		}
+	}
+}
+
+// clock is the time that all gateways share.
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// called notes a call to the counter that a gateway made.
+func (p *process) called(call string) {
+	words := strings.Fields(call)
+	if len(words) != 4 || words[3] == othersKey {
+		return
+	}
+	name, _ := strconv.ParseUint(words[1], 10, 64)
+	units, _ := strconv.ParseFloat(words[2], 64)
+	p.seen.add(p.windows.call(clock(), name, units)...)
+}
+
+// served is what the servers do: they note a push, and answer once the row says so.
+func (p *process) served(words []string) string {
+	task, _ := strconv.ParseUint(words[2], 16, 32)
+	p.seen.add("push " + decimal(uint32(task)))
+	select {
+	case units := <-p.answer(int(task)):
+		if units > 0 {
+			return standin.Value("hello", int(units))
+		}
+		return "*3\r\n$5\r\nhello\r\n$7\r\nused=10\r\n$-1\r\n" // reports no cost
+	case <-p.t.Context().Done():
+		return standin.HangUp
+	}
+}
+
+func (p *process) answer(task int) chan float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answers[task] == nil {
+		p.answers[task] = make(chan float64, 1)
+	}
+	return p.answers[task]
+}
--- /dev/null
+++ b/internal/conformance/seen.go
@@ -0,0 +1,83 @@
+package conformance
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// seen is what a gateway was seen to do, in order. What is seen has words:
+//
+//	count P U       a call to the counter: P is now, last, next or strange, or the name in 16 hex digits; U the units
+//	push N          the task goes to a server
+//	answered N, rejected N, terminated N: its client's final answer
+//	tell, probe, cancel N: what the module asks of its host besides
+type seen struct {
+	mu    sync.Mutex
+	lines [][]string // each with all its faces, of which a pattern may match any
+}
+
+func (s *seen) add(faces ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, faces)
+}
+
+// from gives what was seen after the first n.
+func (s *seen) from(n int) [][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.lines[n:])
+}
+
+// fits tells whether a line matches a pattern: word by word, * is any.
+func fits(faces []string, pattern string) bool {
+	want := strings.Fields(pattern)
+	return slices.ContainsFunc(faces, func(face string) bool {
+		return slices.EqualFunc(strings.Fields(face), want, func(a, b string) bool { return a == b || b == "*" })
+	})
+}
+
+// judge holds what was seen against what a row says, and gives what is wrong.
+func judge(lines [][]string, row Row, never []string) []string {
+	wrong := follows(lines, row)
+	for _, pattern := range slices.Concat(row.MustNot, never) {
+		bad, end, ends := strings.Cut(pattern, " before ")
+		for _, l := range lines {
+			if ends && fits(l, end) {
+				break
+			}
+			if fits(l, bad) {
+				wrong = append(wrong, fmt.Sprintf("%q must not be seen (%s)", l[0], pattern))
+				break
+			}
+		}
+	}
+	return wrong
+}
+
+// follows gives what is lacking or too much of what must follow.
+func follows(lines [][]string, row Row) []string {
+	next := 0
+	for _, l := range lines {
+		if next < len(row.Must) && fits(l, row.Must[next]) {
+			next++
+		} else if row.Exactly {
+			return []string{fmt.Sprintf("%q is too much, or comes too early", l[0])}
+		}
+	}
+	if next < len(row.Must) {
+		return []string{fmt.Sprintf("%q is not seen", row.Must[next])}
+	}
+	return nil
+}
+
+// told writes what was seen, for a failure.
+func told(lines [][]string) string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, strings.Join(l, " = "))
+	}
+	return strings.Join(out, "; ")
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -234,6 +235,7 @@
 	mu     sync.Mutex
 	totals map[string]float64
 	Calls  chan string
+	seen   atomic.Pointer[func(call string)]
 }
 
 // NewCounter starts a counter.
@@ -244,6 +246,9 @@
 		in := bufio.NewScanner(conn)
 		for in.Scan() {
 			c.Calls <- in.Text()
+			if seen := c.seen.Load(); seen != nil {
+				(*seen)(in.Text())
+			}
 			var name string
 			var units float64
 			var life int
@@ -261,6 +266,9 @@
 	return c
 }
 
+// Watch has a function called with each call that comes from now on, before it is answered; it must not wait.
+func (c *Counter) Watch(seen func(call string)) { c.seen.Store(&seen) }
+
 // Call is the next call that came.
 func (c *Counter) Call(t testing.TB) string { return next(t, c.Calls, "call") }
 
