--- a/internal/conformance/launch.go
+++ b/internal/conformance/launch.go
@@ -28,7 +28,7 @@
 				"MostUnits": d.MostUnits},
 			"Report": pairs{"Fields": []string{}, "How": "off"},
 			"PolicyLimits": pairs{"Cancelling": d.Cancelling, "TryLimit": d.PushLimit, "RetryAfter": d.RetryAfter,
-				"MaxRetryAfterMs": d.MaxRetryAfter.Milliseconds(), "ConnectTimeoutMs": 250, "IdleCloseMs": 30000,
+				"MaxRetryAfterMs": d.MaxRetryAfter.Milliseconds(), "ConnectTimeoutMs": connectWithin.Milliseconds(), "IdleCloseMs": 30000,
 				"StreamsPerConn": 100},
 			"Rules": pairs{"AnswerSlackMs": d.AnswerSlack.Milliseconds(), "DrainGraceMs": d.DrainGrace.Milliseconds(),
 				"ColdFrom": d.ColdFrom, "WarmAfterMs": d.WarmAfter.Milliseconds(), "FallMultiple": d.FallMultiple,
--- a/internal/conformance/process.go
+++ b/internal/conformance/process.go
@@ -22,7 +22,9 @@
 	beyond    = 20 * time.Millisecond  // after an edge: clocks are read a little apart
 	quiet     = 100 * time.Millisecond // with nothing seen: nothing more comes by itself
 	soonest   = 10 * time.Second       // what a row waits for is long since there, or never comes
-	othersKey = "1"                    // how long our own calls have a name kept: gateways never ask for as little
+	// A connection to the counter that is silent for so long is dead, and its checks end: later than by themselves.
+	connectWithin = 3 * time.Second
+	othersKey     = "1" // how long our own calls have a name kept: gateways never ask for as little
 )
 
 // program builds the program once for all rows; Clean removes it.
