--- a/internal/conformance/clauses.go
+++ b/internal/conformance/clauses.go
@@ -8,7 +8,7 @@
 	_ "embed"
 	"errors"
 	"fmt"
-	"strings"
+	"slices"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -55,16 +55,17 @@
 	MustNot  []string `toml:"must_not"` // patterns not seen; "X before Y": not until Y is seen
 }
 
-// Change is a changed module that rows must catch: what each edit replaces stands once in its file.
+// Change is a changed program that rows must catch: what each edit replaces stands once in its file.
 type Change struct {
-	Name   string   `toml:"name"`
-	Edits  []Edit   `toml:"edit"`
-	Caught []string `toml:"caught"` // the rows that fail with it: these and no others
+	Name    string   `toml:"name"`
+	Edits   []Edit   `toml:"edit"`
+	Caught  []string `toml:"caught"`  // rows that fail with it against the module; others may as well
+	Sockets []string `toml:"sockets"` // rows played against a process with it, which all fail
 }
 
-// Edit replaces text in a file of the package policy.
+// Edit replaces text in a file.
 type Edit struct {
-	File string `toml:"file"`
+	File string `toml:"file"` // from the project's root
 	Old  string `toml:"old"`
 	New  string `toml:"new"`
 }
@@ -109,7 +110,7 @@
 		if len(r.Event) == 0 || len(r.Must) == 0 {
 			say("row %q: needs an event and what must follow", r.ID)
 		}
-		for _, s := range append(append([]string{}, r.Given...), r.Event...) {
+		for _, s := range slices.Concat(r.Given, r.Event) {
 			if _, err := read(s); err != nil {
 				say("row %q: %w", r.ID, err)
 			}
@@ -121,11 +122,11 @@
 		}
 	}
 	for _, c := range t.Changes {
-		if caught[c.Name] || len(c.Edits) == 0 || len(c.Caught) == 0 {
+		if caught[c.Name] || len(c.Edits) == 0 || len(c.Caught)+len(c.Sockets) == 0 {
 			say("change %q: needs a name of its own, edits, and rows that catch it", c.Name)
 		}
 		caught[c.Name] = true
-		for _, id := range c.Caught {
+		for _, id := range slices.Concat(c.Caught, c.Sockets) {
 			if !rows[id] {
 				say("change %q: no row %q", c.Name, id)
 			}
@@ -145,12 +146,3 @@
 
 // at tells whether a row is played there.
 func (r *Row) at(where string) bool { return r.Where == "both" || r.Where == where }
-
-// listed writes steps or patterns for a cell of the page.
-func listed(items []string) string {
-	out := make([]string, len(items))
-	for i, s := range items {
-		out[i] = "`" + s + "`"
-	}
-	return strings.Join(out, ", ")
-}
--- a/internal/conformance/play.go
+++ b/internal/conformance/play.go
@@ -2,8 +2,11 @@
 
 import (
 	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 
+	"harrierhoist/internal/standin"
 	"harrierhoist/policy"
 )
 
@@ -19,14 +22,22 @@
 
 // Launch is how a process starts: a variant may add to it.
 type Launch struct {
-	Dir    string         // for files; gone with the test
-	Env    []string       // added to that of the test
-	Config map[string]any // of the gateway, as it is written in JSON
-	Peers  []string       // addresses that it may be connected with besides counter, discovery, servers and clients
+	Dir    string          // for files; gone with the test
+	Env    []string        // added to that of the test
+	Config map[string]any  // of the gateway, as it is written in JSON
+	Peers  []string        // addresses that it may be connected with besides counter, discovery, servers and clients
+	Ready  func(r Running) // called once it serves, before the row begins; nil: nothing is to be done then
+}
+
+// Running is a process that serves.
+type Running struct {
+	Pid    int
+	Config string        // the file of its configuration
+	Log    func() string // what it has logged so far
 }
 
 // Variants are those that the tests play. A part that can be switched on adds one for each of its states.
-var Variants = []Variant{Plain}
+var Variants = []Variant{Plain, Reshaped}
 
 // Plain is the gateway as it is, with all parts off.
 var Plain = Variant{
@@ -37,6 +48,26 @@
 	Process: func(testing.TB, *Launch) {},
 }
 
+// Reshaped has taken its settings once more while it ran: nothing may follow from that.
+var Reshaped = Variant{
+	Name: "reshaped",
+	Module: func(site policy.Deployment, seed int64, host policy.Host) (Module, error) {
+		g, err := policy.New(site, seed, host)
+		if err == nil {
+			_, err = g.Reshape(origin, site)
+		}
+		return g, err
+	},
+	Process: func(t testing.TB, l *Launch) {
+		l.Ready = func(r Running) {
+			if err := syscall.Kill(r.Pid, syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			standin.Eventually(t, "settings taken", func() bool { return strings.Contains(r.Log(), "a new configuration") })
+		}
+	},
+}
+
 // player plays steps.
 type player interface {
 	do(s step)
--- a/internal/conformance/process.go
+++ b/internal/conformance/process.go
@@ -23,10 +23,13 @@
 	quiet     = 100 * time.Millisecond // with nothing seen: nothing more comes by itself
 	soonest   = 10 * time.Second       // what a row waits for is long since there, or never comes
 	// A connection to the counter that is silent for so long is dead, and its checks end: later than by themselves.
-	connectWithin = 3 * time.Second
+	connectWithin = 5 * time.Second
 	othersKey     = "1" // how long our own calls have a name kept: gateways never ask for as little
 )
 
+// overlayAt names the variable that tells of a file of replaced sources, so that a changed program is played.
+const overlayAt = "CONFORMANCE_OVERLAY"
+
 // program builds the program once for all rows; Clean removes it.
 var program = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "conformance")
@@ -35,7 +38,8 @@
 	}
 	built = dir
 	path := filepath.Join(dir, "harrierhoist")
-	out, err := exec.Command("go", "build", "-o", path, "harrierhoist/cmd/harrierhoist").CombinedOutput()
+	build := exec.Command("go", "build", "-overlay="+os.Getenv(overlayAt), "-o", path, "harrierhoist/cmd/harrierhoist")
+	out, err := build.CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
@@ -118,6 +122,9 @@
 		}
 	})
 	standin.Eventually(t, "ready", func() bool { return p.ask(standin.Command("PING")) == "+PONG" })
+	if l.Ready != nil {
+		l.Ready(Running{Pid: p.pid, Config: file, Log: func() string { text, _ := os.ReadFile(log); return string(text) }})
+	}
 	p.choose(plan, row.Crosses)
 	p.counter.Watch(p.called)
 	return p
