--- /dev/null
+++ b/internal/conformance/page.go
@@ -0,0 +1,59 @@
+package conformance
+
+import (
+	_ "embed"
+	"strings"
+	"text/template"
+)
+
+//go:embed page.md.tmpl
+var frame string
+
+// Page writes docs/conformance.md from the tables.
+func (t *Tables) Page() (string, error) {
+	page, err := template.New("page").Funcs(template.FuncMap{
+		"rows": t.of, "listed": listed, "names": func(ids []string) string { return strings.Join(ids, ", ") },
+		"proof": t.proof,
+	}).Parse(frame)
+	if err != nil {
+		return "", err
+	}
+	var out strings.Builder
+	err = page.Execute(&out, struct {
+		*Tables
+		Variants []Variant
+	}{t, Variants})
+	return out.String(), err
+}
+
+// of gives a clause's rows.
+func (t *Tables) of(clause string) (rows []Row) {
+	for _, r := range t.Rows {
+		if r.Clause == clause {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// proof gives the changes that a row is named to catch.
+func (t *Tables) proof(row string) []string {
+	var out []string
+	for _, c := range t.Changes {
+		for _, id := range append(c.Caught[:len(c.Caught):len(c.Caught)], c.Sockets...) {
+			if id == row && (len(out) == 0 || out[len(out)-1] != c.Name) {
+				out = append(out, c.Name)
+			}
+		}
+	}
+	return out
+}
+
+// listed writes steps or patterns for a cell of the page.
+func listed(items []string) string {
+	out := make([]string, len(items))
+	for i, s := range items {
+		out[i] = "`" + s + "`"
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/conformance/play.go
+++ b/internal/conformance/play.go
@@ -116,7 +116,9 @@
 	steps(row.Given)
 	before := len(p.settled(func([][]string) bool { return true }).from(0))
 	steps(row.Event)
-	lines := p.settled(func(lines [][]string) bool { return len(follows(lines[before:], row)) == 0 }).from(before)
+	lines := p.settled(func(lines [][]string) bool { // holds, or does not any more
+		return len(follows(lines[before:], row)) == 0 || len(forbidden(lines[before:], row.MustNot)) > 0
+	}).from(before)
 	for _, wrong := range judge(lines, row, tables.Never) {
 		t.Errorf("%s: %s\nseen: %s", row.Text, wrong, told(lines))
 	}
--- a/internal/conformance/seen.go
+++ b/internal/conformance/seen.go
@@ -41,8 +41,12 @@
 
 // judge holds what was seen against what a row says, and gives what is wrong.
 func judge(lines [][]string, row Row, never []string) []string {
-	wrong := follows(lines, row)
-	for _, pattern := range slices.Concat(row.MustNot, never) {
+	return append(follows(lines, row), forbidden(lines, slices.Concat(row.MustNot, never))...)
+}
+
+// forbidden gives what must not have been seen.
+func forbidden(lines [][]string, patterns []string) (wrong []string) {
+	for _, pattern := range patterns {
 		bad, end, ends := strings.Cut(pattern, " before ")
 		for _, l := range lines {
 			if ends && fits(l, end) {
