--- a/internal/conformance/process.go
+++ b/internal/conformance/process.go
@@ -24,7 +24,9 @@
 	soonest   = 10 * time.Second       // what a row waits for is long since there, or never comes
 	// A connection to the counter that is silent for so long is dead, and its checks end: later than by themselves.
 	connectWithin = 5 * time.Second
-	othersKey     = "1" // how long our own calls have a name kept: gateways never ask for as little
+	// The customer of a row is the first from here on that fits: rows name smaller ones as others beside it.
+	chosenFrom = 1000
+	othersKey  = "1" // how long our own calls have a name kept: gateways never ask for as little
 )
 
 // overlayAt names the variable that tells of a file of replaced sources, so that a changed program is played.
@@ -130,7 +132,7 @@
 
 // choose takes a customer whose windows change soon or not, as the row needs it.
 func (p *process) choose(plan Plan, crosses bool) {
-	for c := uint64(customer); ; c++ {
+	for c := uint64(chosenFrom); ; c++ {
 		p.windows = windowsOf(c, plan)
 		edge := p.windows.edge(clock())
 		if crosses && edge > nearLeast && edge < nearMost || !crosses && edge > min(far, p.windows.length/2) {
