--- a/internal/conformance/conformance_test.go
+++ b/internal/conformance/conformance_test.go
@@ -1,7 +1,9 @@
 package conformance
 
 import (
+	"net"
 	"os"
+	"slices"
 	"testing"
 )
 
@@ -34,3 +36,19 @@
 		})
 	}
 }
+
+// Under load a closed listener lived on in a program that was just starting, and a row's gateway found its address taken.
+func TestATakenAddressIsLeftForAnother(t *testing.T) {
+	taken, err := net.Listen("tcp", address(ported.Load()+1))
+	if err != nil {
+		t.Skip("taken already")
+	}
+	defer taken.Close()
+	all := tables(t)
+	i := slices.IndexFunc(all.Rows, func(r Row) bool { return r.ID == "first-check" })
+	before := ported.Load()
+	PlayProcess(t, all, all.Rows[i], Plain)
+	if n := ported.Load() - before; n < 2 {
+		t.Errorf("%d addresses used, want another after the one that is taken", n)
+	}
+}
--- a/internal/conformance/launch.go
+++ b/internal/conformance/launch.go
@@ -1,36 +1,94 @@
 package conformance
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync/atomic"
-	"testing"
+
+	"harrierhoist/internal/standin"
 )
 
-// Ports for processes to listen at lie below those that the system gives to callers and listeners without a wish: none
-// is taken by a row beside between the choice and the start.
+// Ports for processes to listen at lie below those that the system gives to callers and to listeners without a wish.
+// They are not tried before: a listener that was closed may live on for a moment in a program that starts beside.
 const (
-	portFirst = 20000
-	ports     = 10000
+	portFirst  = 20000
+	ports      = 10000
+	portsApart = 101
+	taken      = "address already in use"
+	ready      = `"msg":"ready"` // without it another program might answer there
+	startsMost = 20
 )
 
-var ported atomic.Int64 // how many were tried
+var ported atomic.Int64 // how many were used
+
+// address gives the n-th address of this test's own: tests side by side begin far apart.
+func address(n int64) string {
+	return fmt.Sprintf("127.0.0.1:%d", portFirst+(int64(os.Getpid())*portsApart+n)%ports)
+}
 
-// address gives a loopback address that nobody listens at.
-func address(t testing.TB) string {
-	for range ports {
-		addr := fmt.Sprintf("127.0.0.1:%d", portFirst+(int64(os.Getpid())*101+ported.Add(1))%ports)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			_ = l.Close()
-			return addr
+// start starts the program at a free address and waits until it serves. One that finds its address taken is started
+// once more at another.
+func (p *process) start(path string, l *Launch) Running {
+	p.t.Helper()
+	file, log := filepath.Join(l.Dir, "config.json"), filepath.Join(l.Dir, "log")
+	r := Running{Config: file, Log: func() string { text, _ := os.ReadFile(log); return string(text) }}
+	for range startsMost {
+		p.addr = address(ported.Add(1))
+		l.Config["listen"] = p.addr
+		text, err := json.Marshal(l.Config)
+		if err == nil {
+			err = os.WriteFile(file, text, 0o600)
+		}
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		out, err := os.Create(log)
+		if err != nil {
+			p.t.Fatal(err)
 		}
+		cmd := exec.Command(path)
+		cmd.Env = append(append(os.Environ(), "RELAY_CONFIG="+file), l.Env...)
+		cmd.Stdout, cmd.Stderr = out, out
+		err = cmd.Start()
+		_ = out.Close()
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		go func() { _ = cmd.Wait(); close(ended) }()
+		p.t.Cleanup(func() { _ = cmd.Process.Kill(); <-ended })
+		standin.Eventually(p.t, "a gateway that serves or has ended", func() bool {
+			select {
+			case <-ended:
+				return true
+			default:
+			}
+			return strings.Contains(r.Log(), ready) && p.ask(standin.Command("PING")) == "+PONG"
+		})
+		select {
+		case <-ended:
+			if strings.Contains(r.Log(), taken) {
+				continue
+			}
+			p.t.Fatalf("the gateway ended: %s", r.Log())
+		default:
+		}
+		p.pid, r.Pid = cmd.Process.Pid, cmd.Process.Pid
+		p.t.Cleanup(func() {
+			if p.t.Failed() {
+				p.t.Logf("the gateway's log: %s", r.Log())
+			}
+		})
+		return r
 	}
-	t.Fatal("no free port")
-	return ""
+	p.t.Fatal("no free address")
+	return r
 }
 
 // config is what a gateway is told at its start, in its own form: the same deployment as site gives the module.
@@ -43,7 +101,7 @@
 			"DeadlineMs": l.Patience.Milliseconds(), "Effect": "read_like", "Worth": l.Gain})
 	}
 	return pairs{
-		"name": "n0", "listen": p.addr, "discovery": p.discovery.Addr, "counter": p.counter.Addr,
+		"name": "n0", "discovery": p.discovery.Addr, "counter": p.counter.Addr,
 		"seed": fmt.Sprintf("%016x", seed), "limits": pairs{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"settings": pairs{
 			"Balancers": d.Gateways, "Me": 0, "MyZone": 0, "Dcs": []string{"hall-a"}, "Models": []string{"m2"},
--- a/internal/conformance/process.go
+++ b/internal/conformance/process.go
@@ -81,8 +81,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, plan: plan.Name, width: max(row.Gateways, 1), addr: address(t),
-		counter: standin.NewCounter(t), answers: map[int]chan float64{}}
+	p := &process{t: t, plan: plan.Name, width: max(row.Gateways, 1), counter: standin.NewCounter(t),
+		answers: map[int]chan float64{}}
 	var hosts []string
 	for i := range servers {
 		p.servers = append(p.servers, standin.NewServer(t, p.served))
@@ -93,37 +93,9 @@
 	l.Config["known"] = json.RawMessage(standin.List(1, true, hosts...))
 	v.Process(t, &l)
 	p.peers = l.Peers
-	text, err := json.Marshal(l.Config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file := filepath.Join(l.Dir, "config.json")
-	if err := os.WriteFile(file, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	log := filepath.Join(l.Dir, "log")
-	out, err := os.Create(log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer out.Close()
-	cmd := exec.Command(path)
-	cmd.Env = append(append(os.Environ(), "RELAY_CONFIG="+file), l.Env...)
-	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	p.pid = cmd.Process.Pid
-	t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
-		if text, _ := os.ReadFile(log); t.Failed() {
-			t.Logf("the gateway's log: %s", text)
-		}
-	})
-	standin.Eventually(t, "ready", func() bool { return p.ask(standin.Command("PING")) == "+PONG" })
+	running := p.start(path, &l)
 	if l.Ready != nil {
-		l.Ready(Running{Pid: p.pid, Config: file, Log: func() string { text, _ := os.ReadFile(log); return string(text) }})
+		l.Ready(running)
 	}
 	p.choose(plan, row.Crosses)
 	p.counter.Watch(p.called)
