--- a/internal/conformance/conformance_test.go
+++ b/internal/conformance/conformance_test.go
@@ -40,10 +40,9 @@
 // Under load a closed listener lived on in a program that was just starting, and a row's gateway found its address taken.
 func TestATakenAddressIsLeftForAnother(t *testing.T) {
 	taken, err := net.Listen("tcp", address(ported.Load()+1))
-	if err != nil {
-		t.Skip("taken already")
+	if err == nil { // else somebody else has it
+		defer taken.Close()
 	}
-	defer taken.Close()
 	all := tables(t)
 	i := slices.IndexFunc(all.Rows, func(r Row) bool { return r.ID == "first-check" })
 	before := ported.Load()
