--- a/internal/conformance/change_test.go
+++ b/internal/conformance/change_test.go
@@ -21,8 +21,8 @@
 var failed = regexp.MustCompile(`(?m)^ +--- FAIL: TestRows/plain/(\S+)/(module|process)`)
 
 // Each changed program is built in place of the real one by an overlay: all rows are played against its module, and
-// some against a process of it. Those named for the change must fail. Each row must be failed by some change, wherever it
-// is played.
+// some against a process of it. Those named for the change must fail. Each row must be failed by some change, wherever
+// it is played.
 func TestChangesAreCaught(t *testing.T) {
 	if testing.Short() {
 		t.Skip("builds the module for each change")
@@ -109,7 +109,8 @@
 // fails plays rows with an overlay and notes those that fail, as the row and module or process.
 func fails(t *testing.T, rows map[string]bool, overlay, run string) {
 	t.Helper()
-	cmd := exec.Command("go", "test", "-count=1", "-vet=off", "-timeout="+changeLimit, "-overlay="+overlay, "-run="+run, "-v", ".")
+	cmd := exec.Command("go", "test", "-count=1", "-vet=off", "-timeout="+changeLimit, "-overlay="+overlay,
+		"-run="+run, "-v", ".")
 	cmd.Env = append(os.Environ(), overlayAt+"="+overlay)
 	out, err := cmd.CombinedOutput()
 	if !strings.Contains(string(out), "--- ") || strings.Contains(string(out), "\npanic: ") {
--- a/internal/conformance/client.go
+++ b/internal/conformance/client.go
@@ -55,7 +55,8 @@
 		who = p.windows.customer
 	}
 	l := lanes[s.lane]
-	list := fmt.Sprintf("c=%s,t=%s,d=%d,units=%g,spread=%d,first=0", l.name, p.plan, l.patience.Milliseconds(), s.units, p.width)
+	list := fmt.Sprintf("c=%s,t=%s,d=%d,units=%g,spread=%d,first=0", l.name, p.plan, l.patience.Milliseconds(),
+		s.units, p.width)
 	before := len(p.seen.from(0))
 	go func() {
 		line := p.ask(standin.Command("SVC.QUERY", fmt.Sprintf("%016x", who), fmt.Sprintf("%016x", s.task), list))
--- a/internal/conformance/conformance_test.go
+++ b/internal/conformance/conformance_test.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// Under load a closed listener lived on in a program that was just starting, and a row's gateway found its address taken.
+// Under load a closed listener lived on in a program that was just starting, and a row's gateway found its address
+// taken.
 func TestATakenAddressIsLeftForAnother(t *testing.T) {
 	taken, err := net.Listen("tcp", address(ported.Load()+1))
 	if err == nil { // else somebody else has it
--- a/internal/conformance/launch.go
+++ b/internal/conformance/launch.go
@@ -19,13 +19,13 @@
 const (
 	portFirst  = 20000
 	ports      = 10000
-	portsApart = 101
+	portsApart = 101 // between tests whose process numbers follow each other: more than one needs
 	taken      = "address already in use"
 	ready      = `"msg":"ready"` // without it another program might answer there
 	startsMost = 20
 )
 
-var ported atomic.Int64 // how many were used
+var ported atomic.Int64 // how many were used by this test
 
 // address gives the n-th address of this test's own: tests side by side begin far apart.
 func address(n int64) string {
@@ -106,12 +106,12 @@
 		"settings": pairs{
 			"Balancers": d.Gateways, "Me": 0, "MyZone": 0, "Dcs": []string{"hall-a"}, "Models": []string{"m2"},
 			"Discovery": "push", "TickMs": d.Tick.Milliseconds(),
-			"FamilyInfo": pairs{"HasCounter": d.HasCounter, "CountLimitMs": d.CountLimit.Milliseconds(), "Settles": d.Settles,
-				"MostUnits": d.MostUnits},
+			"FamilyInfo": pairs{"HasCounter": d.HasCounter, "CountLimitMs": d.CountLimit.Milliseconds(),
+				"Settles": d.Settles, "MostUnits": d.MostUnits},
 			"Report": pairs{"Fields": []string{}, "How": "off"},
 			"PolicyLimits": pairs{"Cancelling": d.Cancelling, "TryLimit": d.PushLimit, "RetryAfter": d.RetryAfter,
-				"MaxRetryAfterMs": d.MaxRetryAfter.Milliseconds(), "ConnectTimeoutMs": connectWithin.Milliseconds(), "IdleCloseMs": 30000,
-				"StreamsPerConn": 100},
+				"MaxRetryAfterMs": d.MaxRetryAfter.Milliseconds(), "ConnectTimeoutMs": connectWithin.Milliseconds(),
+				"IdleCloseMs": 30000, "StreamsPerConn": 100},
 			"Rules": pairs{"AnswerSlackMs": d.AnswerSlack.Milliseconds(), "DrainGraceMs": d.DrainGrace.Milliseconds(),
 				"ColdFrom": d.ColdFrom, "WarmAfterMs": d.WarmAfter.Milliseconds(), "FallMultiple": d.FallMultiple,
 				"TipAfterMs": d.TipAfter.Milliseconds()},
@@ -167,7 +167,8 @@
 func endpoint(text string) string {
 	var a, b, c, d byte
 	var port int
-	if n, _ := fmt.Sscanf(text, "%02X%02X%02X%02X:%04X", &d, &c, &b, &a, &port); n != 5 || len(text) != len("0100007F:1F90") {
+	n, _ := fmt.Sscanf(text, "%02X%02X%02X%02X:%04X", &d, &c, &b, &a, &port)
+	if n != 5 || len(text) != len("0100007F:1F90") {
 		return text
 	}
 	return fmt.Sprintf("%s:%d", net.IPv4(a, b, c, d), port)
--- a/internal/conformance/page.go
+++ b/internal/conformance/page.go
@@ -13,7 +13,6 @@
 func (t *Tables) Page() (string, error) {
 	page, err := template.New("page").Funcs(template.FuncMap{
 		"rows": t.of, "listed": listed, "names": func(ids []string) string { return strings.Join(ids, ", ") },
-		"proof": t.proof,
 	}).Parse(frame)
 	if err != nil {
 		return "", err
@@ -36,19 +35,6 @@
 	return rows
 }
 
-// proof gives the changes that a row is named to catch.
-func (t *Tables) proof(row string) []string {
-	var out []string
-	for _, c := range t.Changes {
-		for _, id := range append(c.Caught[:len(c.Caught):len(c.Caught)], c.Sockets...) {
-			if id == row && (len(out) == 0 || out[len(out)-1] != c.Name) {
-				out = append(out, c.Name)
-			}
-		}
-	}
-	return out
-}
-
 // listed writes steps or patterns for a cell of the page.
 func listed(items []string) string {
 	out := make([]string, len(items))
--- a/internal/conformance/play.go
+++ b/internal/conformance/play.go
@@ -63,7 +63,9 @@
 			if err := syscall.Kill(r.Pid, syscall.SIGHUP); err != nil {
 				t.Fatal(err)
 			}
-			standin.Eventually(t, "settings taken", func() bool { return strings.Contains(r.Log(), "a new configuration") })
+			standin.Eventually(t, "settings taken", func() bool {
+				return strings.Contains(r.Log(), "a new configuration")
+			})
 		}
 	},
 }
--- a/internal/conformance/step.go
+++ b/internal/conformance/step.go
@@ -81,7 +81,7 @@
 		var e error
 		s.span, e = time.ParseDuration(rest[0])
 		note(e)
-	case s.verb == "mark" && len(rest) == 1, s.verb == "counter" && (text == "counter silent" || text == "counter back"):
+	case s.verb == "mark" && len(rest) == 1, text == "counter silent", text == "counter back":
 		s.word = rest[0]
 	case (s.verb == "edge" || s.verb == "talks") && len(rest) == 0:
 	default:
