Messages between voters carry a checksum

A byte flipped on the way could change an index or a term that raft goes by, or end a voter. Each flipped byte and each cut of a message is now refused, which the core's test shows; numbers that the library keeps for itself are refused too.

--- a/internal/cluster/core/core_test.go
+++ b/internal/cluster/core/core_test.go
@@ -88,14 +88,22 @@
 		{"says to be number", func(e *envelope) { e.From.Number = at.Self().Number }}} {
 		e := from
 		c.make(&e)
-		b, _ := mode.Marshal(e)
+		b, _ := e.bytes()
 		_, err := at.Step(b)
 		if (err == nil) != (c.word == "") || err != nil && (!errors.Is(err, ErrRefused) || !strings.Contains(err.Error(), c.word)) {
 			t.Errorf("%q: %v", c.word, err)
 		}
 	}
-	if _, err := at.Step([]byte("spoilt")); !errors.Is(err, ErrRefused) {
-		t.Error(err)
+	b, _ := from.bytes()
+	for i := range b {
+		b[i] ^= 1 << (i % 8)
+		if _, err := at.Step(b); !errors.Is(err, ErrRefused) {
+			t.Errorf("byte %d flipped: %v", i, err)
+		}
+		if _, err := at.Step(b[:i]); !errors.Is(err, ErrRefused) {
+			t.Errorf("cut at byte %d: %v", i, err)
+		}
+		b[i] ^= 1 << (i % 8)
 	}
 }
 
--- a/internal/cluster/core/members.go
+++ b/internal/cluster/core/members.go
@@ -58,6 +58,8 @@
 	switch {
 	case m.Number <= r.Top:
 		return fmt.Errorf("number %d was given before; the next is %d", m.Number, r.Top+1)
+	case m.Number >= numberMost:
+		return fmt.Errorf("number %d is too high; the next is %d", m.Number, r.Top+1)
 	case m.Name == "" || m.Address == "":
 		return errors.New("a member needs a name and an address")
 	case slices.ContainsFunc(r.Members, func(o cluster.Member) bool { return o.Address == m.Address }):
--- a/internal/cluster/core/message.go
+++ b/internal/cluster/core/message.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -21,6 +24,24 @@
 	Digests []evidence.Digest `cbor:"6,keyasint,omitempty"`
 }
 
+// bytes are the envelope with its checksum: raft goes by each number in a message, and one spoilt on the way would be
+// taken for what the sender says.
+func (e *envelope) bytes() ([]byte, error) {
+	b, err := mode.Marshal(e)
+	return binary.BigEndian.AppendUint64(b, xxhash.Sum64(b)), err
+}
+
+func open(message []byte) (e envelope, err error) {
+	end := len(message) - 8
+	if end < 0 || binary.BigEndian.Uint64(message[end:]) != xxhash.Sum64(message[:end]) {
+		return e, errors.New("spoilt on the way")
+	}
+	return e, cbor.Unmarshal(message[:end], &e)
+}
+
+// numberMost is beyond any number of a member; the library keeps the highest ones for itself.
+const numberMost = 1 << 32
+
 // sender is what was last heard of a member.
 type sender struct {
 	cluster.Member
@@ -58,7 +79,7 @@
 				continue // removed meanwhile
 			}
 		}
-		b, err := mode.Marshal(bodies[id])
+		b, err := bodies[id].bytes()
 		if err != nil {
 			return nil, err
 		}
@@ -81,14 +102,14 @@
 	}
 	e := c.envelope()
 	e.Digests = digests
-	b, err := mode.Marshal(e)
+	b, err := e.bytes()
 	return Message{lead, b}, err == nil, err
 }
 
 // Step takes a message of another voter and gives the digests in it. Error: ErrRefused with what is wrong with it.
 func (c *Core) Step(message []byte) ([]evidence.Digest, error) {
-	var e envelope
-	if err := cbor.Unmarshal(message, &e); err != nil {
+	e, err := open(message)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	if err := c.admit(e); err != nil {
@@ -114,7 +135,7 @@
 	was := c.heard[from]
 	m, _ := c.members.find(from)
 	switch {
-	case from == 0 || from == c.self.Number:
+	case from == 0 || from >= numberMost || from == c.self.Number:
 		return fmt.Errorf("%w: it says to be number %d", ErrRefused, from)
 	case e.Club != 0 && c.members.Club != 0 && e.Club != c.members.Club:
 		return fmt.Errorf("%w: number %d is of another log", ErrRefused, from)
--- a/internal/cluster/voter/desk.go
+++ b/internal/cluster/voter/desk.go
@@ -25,11 +25,12 @@
 	led     uint64        // the term that it leads in; 0: none
 	since   time.Duration // it leads
 	refused map[string]bool
+	limit   int64 // bytes of log after which it is made anew
 }
 
 func newDesk(v *Voter, c *core.Core, d *disk.Disk, send func(cluster.Member, []byte), log *zap.Logger) *desk {
 	return &desk{v: v, core: c, disk: d, send: send, log: log, waits: map[uint64]chan core.Outcome{},
-		reads: core.NewReads(c), refused: map[string]bool{}}
+		reads: core.NewReads(c), refused: map[string]bool{}, limit: logMost}
 }
 
 // run works until the voter is to end or its disk fails it. A voter that can't write is as good as dead to the others,
@@ -123,7 +124,7 @@
 
 // shorten makes the log anew once it is long.
 func (k *desk) shorten() error {
-	if k.disk.Size() < logMost {
+	if k.disk.Size() < k.limit {
 		return nil
 	}
 	if err := k.core.Compact(entryKeep); err != nil {
@@ -136,9 +137,7 @@
 	if err := k.disk.Rewrite(base); err != nil {
 		return err
 	}
-	if k.disk.Size() > logMost/2 { // little is gained by the next time: the state itself is large
-		return k.core.Compact(0)
-	}
+	k.limit = max(logMost, 2*k.disk.Size()) // a large state is not written again at every turn
 	return nil
 }
 
