A leader sends entries while it writes its own

A commit waited for two syncs in a row; raft counts a leader's own copy once it is on disk, so that the others may write at the same time.

--- a/internal/cluster/core/ready.go
+++ b/internal/cluster/core/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -13,9 +14,12 @@
 	"harrierhoist/internal/cluster/tables"
 )
 
-// Ready is what the host has to do, in this order: write Record and sync it; send Messages; call Done. Where the record
-// cannot be written nothing may be sent, and the voter has ended.
+// Ready is what the host has to do, in this order: send Early; write Record and sync it; send Messages; call Done. Where
+// the record cannot be written nothing more may be sent, and the voter has ended.
 type Ready struct {
+	// Early are a leader's entries for the others, which may sync them while it does: it counts itself among those who
+	// have them once its own are on disk (Ongaro, Consensus: Bridging Theory and Practice, 2014, 10.2.1).
+	Early    []Message
 	Record   []byte // nil: nothing, or only how far is committed, which the others tell again
 	Messages []Message
 	raft     raft.Ready
@@ -57,9 +61,30 @@
 			return Ready{}, false, err
 		}
 	}
-	var err error
-	r.Messages, err = c.seal(r.raft.Messages)
-	return r, true, err
+	early, late := c.early(r.raft)
+	var err, err2 error
+	r.Early, err = c.seal(early)
+	r.Messages, err2 = c.seal(late)
+	return r, true, errors.Join(err, err2)
+}
+
+// early parts the messages that may be sent before the record is on disk: those of a leader whose term and vote are
+// there already.
+func (c *Core) early(rd raft.Ready) (early, late []*raftpb.Message) {
+	was, _, _ := c.store.InitialState() // gives no error
+	h := rd.HardState
+	if !raft.IsEmptyHardState(h) && (h.GetTerm() != was.GetTerm() || h.GetVote() != was.GetVote()) ||
+		!raft.IsEmptySnap(rd.Snapshot) {
+		return nil, rd.Messages
+	}
+	for _, m := range rd.Messages {
+		if m.GetType() == raftpb.MsgApp {
+			early = append(early, m)
+		} else {
+			late = append(late, m)
+		}
+	}
+	return early, late
 }
 
 // Done tells the core that the record is on disk and the messages are sent.
--- a/internal/cluster/core/row_test.go
+++ b/internal/cluster/core/row_test.go
@@ -71,7 +71,7 @@
 			if ready.Record != nil {
 				r.disks[id] = append(r.disks[id], ready.Record)
 			}
-			for _, m := range ready.Messages {
+			for _, m := range append(ready.Early, ready.Messages...) {
 				if to := r.cores[m.To.Number]; to != nil {
 					if _, err := to.Step(m.Body); err != nil {
 						r.refused = append(r.refused, err)
--- a/internal/cluster/play/work.go
+++ b/internal/cluster/play/work.go
@@ -12,6 +12,7 @@
 	if r.Record == nil {
 		doomed = 0
 	}
+	n.send(r.Early)
 	if n.w.bug == SendBeforeSync {
 		n.send(r.Messages)
 	}
--- a/internal/cluster/voter/desk.go
+++ b/internal/cluster/voter/desk.go
@@ -101,6 +101,9 @@
 		if !ok {
 			break
 		}
+		for _, m := range r.Early {
+			k.send(m.To, m.Body)
+		}
 		if r.Record != nil {
 			if err := k.disk.Save(r.Record); err != nil {
 				return err
