--- a/internal/cluster/core/core.go
+++ b/internal/cluster/core/core.go
@@ -56,12 +56,14 @@
 	conf    *raftpb.ConfState // as of the last entry applied
 	applied uint64
 	term    uint64 // of the last entry applied
-	seq     uint64 // of calls: grows over lives, as its upper half is the life's count
-	chance  *rand.Rand
-	quiet   int            // ticks since a leader was heard of or a vote given
-	patient int            // ticks of quiet until this voter stands for election
-	snaps   map[uint64]int // ticks since a snapshot was sent, by number
-	heard   map[uint64]sender
+	// changing is the term in which a change of the members was proposed that is not yet applied; 0: none
+	changing uint64
+	seq      uint64 // of calls: grows over lives, as its upper half is the life's count
+	chance   *rand.Rand
+	quiet    int            // ticks since a leader was heard of or a vote given
+	patient  int            // ticks of quiet until this voter stands for election
+	snaps    map[uint64]int // ticks since a snapshot was sent, by number
+	heard    map[uint64]sender
 }
 
 var mode = func() cbor.EncMode {
--- a/internal/cluster/core/core_test.go
+++ b/internal/cluster/core/core_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// A change that comes while another is on its way would be lost without a word.
+func TestSecondChangeIsRefusedUntilTheFirstIsApplied(t *testing.T) {
+	r := newRow(t, 3)
+	lead := r.leader()
+	_, first := lead.Change(member(4), false)
+	_, second := lead.Change(member(5), false)
+	if first != nil || !errors.Is(second, ErrChange) {
+		t.Errorf("%v, then %v", first, second)
+	}
+	r.settle()
+	if d := r.done[lead.Self().Number]; len(d.Results) != 1 || d.Results[0].Err != nil {
+		t.Errorf("%+v", d)
+	}
+	if _, err := lead.Change(member(5), false); err != nil {
+		t.Errorf("after the first: %v", err)
+	}
+}
+
 // Disks that were emptied, copied or put back from an older copy, removed members and other installations are refused.
 func TestSendersThatAreRefused(t *testing.T) {
 	r := newRow(t, 3)
--- a/internal/cluster/core/members.go
+++ b/internal/cluster/core/members.go
@@ -148,8 +148,10 @@
 	if !c.Leads() {
 		return 0, cluster.ErrNotLeader
 	}
-	if !c.Settled() {
-		return 0, ErrChange // one of an earlier leader may be on its way
+	// The library writes nothing in place of a change that comes too early, and says nothing of it: one of an earlier
+	// leader may be on its way, or one of this voter's own.
+	if !c.Settled() || c.changing == c.term {
+		return 0, ErrChange
 	}
 	if err := c.members.check(m, remove); err != nil {
 		return 0, err
@@ -167,6 +169,7 @@
 		Changes: []*raftpb.ConfChangeSingle{{Type: &kind, NodeId: &m.Number}}}); err != nil {
 		return 0, cluster.ErrNotLeader
 	}
+	c.changing = c.term
 	return c.seq, nil
 }
 
--- a/internal/cluster/core/reads.go
+++ b/internal/cluster/core/reads.go
@@ -16,6 +16,9 @@
 	Until  time.Duration                       // it waits for news
 	Answer func(found map[string]tables.Entry) // called once; it must not block
 
+	// Gone tells that nobody waits for the answer any more; nil: somebody always does.
+	Gone func() bool
+
 	sure  bool   // what stands here was confirmed since it came
 	seq   uint64 // of the confirmation that it waits for; 0: none
 	final bool   // that one began after its wait was over
@@ -40,11 +43,6 @@
 	q.confirm(now)
 }
 
-// Drop forgets a read whose caller has gone.
-func (q *Reads) Drop(r *Reader) {
-	q.waiting = slices.DeleteFunc(q.waiting, func(o *Reader) bool { return o == r })
-}
-
 // confirm begins a confirmation where reads wait for one and none is on its way.
 func (q *Reads) confirm(now time.Duration) {
 	need := func(r *Reader) bool { return r.seq == 0 && (!r.sure || now >= r.Until) }
@@ -59,8 +57,9 @@
 	}
 }
 
-// Tick looks after reads whose wait is over and confirmations that were lost.
+// Tick looks after reads whose wait is over or whose caller has gone, and confirmations that were lost.
 func (q *Reads) Tick(now time.Duration) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(r *Reader) bool { return r.Gone != nil && r.Gone() })
 	if q.seq != 0 && q.index == 0 && now-q.since > confirmPatience {
 		q.seq = 0
 		for _, r := range q.waiting {
--- a/internal/cluster/core/ready.go
+++ b/internal/cluster/core/ready.go
@@ -165,6 +165,7 @@
 	if err := cbor.Unmarshal(cc.GetContext(), &ch); err != nil {
 		return err
 	}
+	c.changing = 0
 	err := c.members.check(ch.Member, ch.Remove) // all voters find the same
 	if err == nil {
 		c.members.change(ch.Member, ch.Remove)
--- a/internal/cluster/voter/decide.go
+++ b/internal/cluster/voter/decide.go
@@ -119,7 +119,7 @@
 
 // write proposes once. A write that is lost or comes too late is no matter: the decider is asked again with what stands.
 func (v *Voter) write(ctx context.Context, c tables.Command) {
-	ctx, cancel := context.WithTimeout(ctx, raiseEvery)
+	ctx, cancel := context.WithTimeout(ctx, writePatience)
 	defer cancel()
 	_, _ = v.Propose(ctx, c)
 }
--- a/internal/cluster/voter/voter.go
+++ b/internal/cluster/voter/voter.go
@@ -27,6 +27,8 @@
 	passEvery = 200 * time.Millisecond
 	// decideEvery is how often the deciders are asked.
 	decideEvery = 100 * time.Millisecond
+	// writePatience is how long a decider's write is waited for before the deciders are asked again.
+	writePatience = time.Second
 	// raiseEvery is how often exact counts go to the log, at most.
 	raiseEvery = time.Second
 )
@@ -174,7 +176,7 @@
 	wait time.Duration) (map[string]tables.Entry, error) {
 	answer := make(chan map[string]tables.Entry, 1)
 	r := &core.Reader{Known: known, Until: time.Since(began) + wait,
-		Answer: func(found map[string]tables.Entry) { answer <- found }}
+		Answer: func(found map[string]tables.Entry) { answer <- found }, Gone: func() bool { return ctx.Err() != nil }}
 	if err := v.ask(ctx, func(k *desk) { k.reads.Add(r, time.Since(began)) }); err != nil {
 		if errors.Is(err, cluster.ErrStopped) {
 			return nil, err
@@ -187,7 +189,6 @@
 	case <-v.over:
 		return nil, cluster.ErrStopped
 	case <-ctx.Done():
-		_ = v.ask(context.Background(), func(k *desk) { k.reads.Drop(r) })
 		return nil, cluster.ErrNoQuorum
 	}
 }
