--- a/internal/cluster/play/node.go
+++ b/internal/cluster/play/node.go
@@ -34,6 +34,8 @@
 	lost     bool // its disk, for good
 	full     bool
 	doomed   int
+	slow     time.Duration // what a sync takes; 0: no time
+	writing  bool          // waits for it, and does nothing else
 	asleep   bool
 	stood    time.Duration // its clock, while others' went on
 	queue    []func()      // what came while it slept
@@ -72,16 +74,17 @@
 		n.base(c)
 	}
 	n.core, n.reads, n.gather = c, core.NewReads(c), core.NewGather(n.member.Name, n.life)
-	n.up, n.asleep, n.queue, n.proposed, n.doomed = true, false, nil, map[uint64]func(core.Outcome){}, 0
+	n.up, n.asleep, n.writing, n.queue, n.doomed = true, false, false, nil, 0
+	n.proposed = map[uint64]func(core.Outcome){}
 	own := func() bool { return n.up && n.life == life.Count }
 	n.w.every(tick, func() bool {
-		if own() && !n.asleep {
+		if own() && !n.busy() {
 			n.do(func() { n.core.Tick(); n.reads.Tick(n.now()) })
 		}
 		return own()
 	})
 	n.w.every(passEvery, func() bool {
-		if own() && !n.asleep {
+		if own() && !n.busy() {
 			n.do(n.pass)
 		}
 		return own()
@@ -118,20 +121,27 @@
 		if stands {
 			n.stood += span
 		}
-		queue := n.queue
-		n.queue = nil
-		for _, do := range queue {
-			n.do(do)
-		}
+		n.catchUp()
 	})
 }
 
+func (n *node) busy() bool { return n.asleep || n.writing }
+
+// catchUp does what came while the voter was busy.
+func (n *node) catchUp() {
+	for len(n.queue) > 0 && n.up && !n.busy() {
+		do := n.queue[0]
+		n.queue = n.queue[1:]
+		n.do(do)
+	}
+}
+
 // do has something done at a voter that is there, and what follows from it.
 func (n *node) do(do func()) {
 	switch {
 	case !n.up:
 		return
-	case n.asleep:
+	case n.busy():
 		n.queue = append(n.queue, do)
 		return
 	}
@@ -142,7 +152,12 @@
 		}
 	}()
 	do()
-	for n.up {
+	n.turn()
+}
+
+// turn does what the core has ready, and looks at what came of it.
+func (n *node) turn() {
+	for n.up && !n.writing {
 		r, ok, err := n.core.Ready()
 		if err != nil {
 			n.w.problem("voter %d: %v", n.member.Number, err)
@@ -151,7 +166,7 @@
 			break
 		}
 	}
-	if n.up && len(n.disk)+len(n.loose) > compactAt {
+	if n.up && !n.writing && len(n.disk)+len(n.loose) > compactAt {
 		if err := n.core.Compact(10); err != nil {
 			n.w.problem("voter %d: %v", n.member.Number, err)
 		}
--- a/internal/cluster/play/trouble.go
+++ b/internal/cluster/play/trouble.go
@@ -15,7 +15,7 @@
 		n = l
 	}
 	span := 50*time.Millisecond + time.Duration(w.chance.Int64N(int64(1500*time.Millisecond)))
-	switch w.chance.IntN(9) {
+	switch w.chance.IntN(10) {
 	case 0, 1:
 		n.doomed = 1 + w.chance.IntN(stages)
 		w.at(span, func() { n.restart() })
@@ -44,6 +44,9 @@
 		n.full = true
 		w.at(span, func() { n.full = false; n.crash(); n.restart() })
 	case 8:
+		n.slow = time.Duration(w.chance.Int64N(int64(400 * time.Millisecond)))
+		w.at(span, func() { n.slow = 0 })
+	case 9:
 		w.replace(n)
 	}
 	w.at(time.Duration(w.chance.Int64N(int64(800*time.Millisecond))), w.trouble)
@@ -53,7 +56,7 @@
 	clear(w.cut)
 	w.loss, w.slow = 0, 2*time.Millisecond
 	for _, n := range w.live() {
-		n.doomed, n.full = 0, false
+		n.doomed, n.full, n.slow = 0, false, 0
 		n.restart()
 	}
 }
--- a/internal/cluster/play/work.go
+++ b/internal/cluster/play/work.go
@@ -20,9 +20,29 @@
 		n.crash()
 		return false
 	}
-	if r.Record != nil {
-		n.save(r.Record)
+	if r.Record == nil {
+		return n.finish(r, 0)
+	}
+	if n.slow > 0 {
+		n.writing = true
+		life := n.life
+		n.w.at(n.slow, func() {
+			if !n.up || n.life != life {
+				return // it died before the sync was over
+			}
+			n.writing = false
+			n.save(r.Record)
+			n.queue = append([]func(){func() { n.finish(r, doomed) }}, n.queue...) // before what came meanwhile
+			n.catchUp()
+		})
+		return false
 	}
+	n.save(r.Record)
+	return n.finish(r, doomed)
+}
+
+// finish goes on once the record is on disk.
+func (n *node) finish(r core.Ready, doomed int) bool {
 	if doomed == beforeSync || doomed == beforeSend {
 		n.crash()
 		return false
