Voter: a leader with a slow disk gives way

A sync of 0.7 s keeps the leader from its heartbeats: the test shows that another leads, that 20 writes go on, and that the slow one holds them all once its disk is well again.

--- a/internal/cluster/voter/house_test.go
+++ b/internal/cluster/voter/house_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +141,27 @@
 		}
 	}
 }
+
+// failing is a disk that is full from some write on.
+type failing struct {
+	disk.Bare
+	full func() bool
+}
+
+func (f failing) Write(file *os.File, b []byte) error {
+	if f.full() {
+		return errors.New("no space left")
+	}
+	return f.Bare.Write(file, b)
+}
+
+// slow is a disk whose syncs take a while from some moment on.
+type slow struct {
+	disk.Bare
+	takes *atomic.Int64
+}
+
+func (s slow) Sync(f *os.File) error {
+	time.Sleep(time.Duration(s.takes.Load()))
+	return s.Bare.Sync(f)
+}
--- a/internal/cluster/voter/voter_test.go
+++ b/internal/cluster/voter/voter_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -127,19 +127,6 @@
 	standin.Eventually(t, "last count", func() bool { return seen()[len(seen())-len(fmt.Sprint(n)):] == fmt.Sprint(n) })
 }
 
-// failing is a disk that is full from some write on.
-type failing struct {
-	disk.Bare
-	full func() bool
-}
-
-func (f failing) Write(file *os.File, b []byte) error {
-	if f.full() {
-		return errors.New("no space left")
-	}
-	return f.Bare.Write(file, b)
-}
-
 // A voter whose disk is full ends: it says nothing more, and callers hear that it has stopped.
 func TestFullDiskStopsTheVoter(t *testing.T) {
 	h := newHouse(t, 1)
@@ -162,6 +149,32 @@
 	}
 }
 
+// A leader whose disk has become slow can't say that it is there while it waits for it: another leads, writes go on, and
+// the slow one still holds what it acknowledged.
+func TestLeaderWithASlowDiskGivesWay(t *testing.T) {
+	h, takes := newHouse(t, 3), make([]atomic.Int64, 4)
+	for i := range uint64(3) {
+		if err := h.start(i+1, t.TempDir(), slow{takes: &takes[i+1]}, h.first); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.write(write(1, 0, "a"))
+	old := h.leader()
+	takes[old.Status().Number].Store(int64(700 * time.Millisecond))
+	for i := range uint64(20) {
+		if r := h.write(write(i+2, i+1, "b")); !r.Applied || r.Epoch != i+2 {
+			t.Fatalf("write %d: %+v", i, r)
+		}
+	}
+	if h.leader() == old {
+		t.Error("the slow one leads")
+	}
+	takes[old.Status().Number].Store(0)
+	if got, err := old.Read(within(t), nil, 0); err != nil || got["plan"].Epoch != 21 {
+		t.Errorf("%v, %v", got["plan"].Epoch, err)
+	}
+}
+
 // A voter whose folder was emptied comes back under its old number: the others refuse it, it ends, and what was
 // acknowledged stands. Under a new number it joins and holds all.
 func TestEmptiedFolderNeedsANewNumber(t *testing.T) {
