Clerk: what is held in common is asked without the clerk's lock

Those who hold it ask for our counts, maybe under a lock of theirs: the two orders could have met. An answer that was overtaken by a later one changes nothing.

--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -63,8 +63,9 @@
 // tasks by rule from here on.
 func (c *Clerk) Start(g *gate.Gate, site policy.Deployment, commons cluster.Commons) error {
 	c.gate, c.commons = g, commons
+	h, _ := c.hear()
 	c.mu.Lock()
-	c.refresh()
+	c.refresh(h)
 	c.mu.Unlock()
 	if _, err := g.CountBy(c, site); err != nil {
 		return err
@@ -124,8 +125,9 @@
 // follow takes in what is new: rules into the gate's plans, a canary begun or ended, the play's late calls.
 func (c *Clerk) follow() {
 	now := c.gate.Now()
+	h, held := c.hear()
 	c.mu.Lock()
-	fresh, held := c.refresh(), c.held()
+	fresh := c.refresh(h)
 	base, fence := c.base, c.standing(now, held)
 	if tight := len(fence) > 1; tight != c.fenced {
 		c.fenced = tight
@@ -148,10 +150,9 @@
 	}
 }
 
-// refresh reads the table as held, and tells whether it brought a rule that the plans do not have yet.
-func (c *Clerk) refresh() (fresh bool) {
-	h := c.commons.Held(counting.Name)
-	if h.Epoch != c.epoch {
+// refresh takes in the table as held, and tells whether it brought a rule that the plans do not have yet.
+func (c *Clerk) refresh(h cluster.Held) (fresh bool) {
+	if h.Epoch > c.epoch { // another may have heard a later one meanwhile
 		t, err := counting.Decode(h.Value)
 		if err != nil {
 			c.log.Error("counting: the table cannot be read; what was held stands", zap.Error(err))
@@ -180,8 +181,12 @@
 	return !c.planned
 }
 
-// held tells whether the lease on the table stands; a table that was never written has one too.
-func (c *Clerk) held() bool { return c.commons.Now() < c.commons.Held(counting.Name).Until }
+// hear gives the table as held, and whether its lease stands; one that was never written has a lease too. It is called
+// without the clerk's lock: those who hold it in common ask for our counts under a lock of theirs.
+func (c *Clerk) hear() (h cluster.Held, held bool) {
+	h = c.commons.Held(counting.Name)
+	return h, c.commons.Now() < h.Until
+}
 
 func (c *Clerk) standing(now time.Duration, held bool) []uint64 {
 	return slices.DeleteFunc(c.table.Standing(now, held, c.epoch > 0, c.file),
--- a/internal/clerk/take.go
+++ b/internal/clerk/take.go
@@ -15,10 +15,11 @@
 
 // Take is for the gate: a task is counted by what holds now, and so is all that comes of it later.
 func (c *Clerk) Take(now time.Duration, t gate.Task) gate.Counted {
+	h, held := c.hear()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.refresh()
-	standing := c.standing(now, c.held())
+	c.refresh(h)
+	standing := c.standing(now, held)
 	if len(standing) == 0 { // no rule in force is known here: today's
 		standing = []uint64{0}
 	}
