Clerk: started by one call beside the gate; the decider by one among the deciders

The gate tells of the module's calls and lends its counter, so nothing has to be put around the counter before the gate is made. Tests as before.

--- a/internal/canary/decider.go
+++ b/internal/canary/decider.go
@@ -29,7 +29,6 @@
 	Lease  time.Duration             // of the table, at every process
 	Wait   time.Duration             // the longest that a read of the table waits
 	Origin time.Duration             // the common clock when now was 0
-	Fits   func(counting.Rule) error // tells why a rule cannot hold with the lanes and plans there are; nil: any can
 
 	terms  *counting.Terms
 	epoch  uint64
@@ -39,6 +38,12 @@
 	since  time.Duration
 }
 
+// New makes a decider of a file's terms. Lease and wait are those of the table's readers; origin is the common clock,
+// nanoseconds since 1970 by the wall, when the clock that Decide is told was 0: within skewMost is near enough.
+func New(terms func() *counting.Terms, lease, wait, origin time.Duration) *Decider {
+	return &Decider{Terms: terms, Lease: lease, Wait: wait, Origin: origin}
+}
+
 // Table is the decider's.
 func (d *Decider) Table() string { return counting.Name }
 
@@ -126,11 +131,7 @@
 	}
 	old, _ := t.Rule(t.From)
 	t.Seed, t.Since, t.To, t.Trial = counting.Mix(try, uint64(at)), at, try, d.terms.Canary
-	_, err := NewSample(old, next, t.Seed, d.terms.Canary.Sample)
-	if err == nil && d.Fits != nil {
-		err = d.Fits(next)
-	}
-	if err != nil {
+	if _, err := NewSample(old, next, t.Seed, d.terms.Canary.Sample); err != nil {
 		d.refuse(at, t, err.Error())
 		return true
 	}
--- a/internal/clerk/clerk.go
+++ b/internal/clerk/clerk.go
@@ -17,21 +17,16 @@
 	"harrierhoist/policy"
 )
 
-// Count is a call to the counter, as gate.Outside has it: it may neither wait nor call back before it returns.
-type Count = func(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome))
-
 const tick = 250 * time.Millisecond // how often the play's late units go, and the lease is looked at for the log
 
 // Clerk counts by rule. Its lock is taken under the gate's, never the other way round.
 type Clerk struct {
-	count   Count
 	log     *zap.Logger
 	commons cluster.Commons
 	gate    *gate.Gate
 
 	mu      sync.Mutex
 	file    *counting.Terms
-	base    policy.Deployment // without the rules' plans
 	site    policy.Deployment // as in force
 	rules   []counting.Rule   // known, by the table first
 	merged  bool              // they have those of the table and the file as last heard
@@ -46,28 +41,30 @@
 	fenced  bool // logged
 }
 
-// New makes a clerk of a file's terms. Its Count is what the gate is to call the counter by.
-func New(file *counting.Terms, count Count, log *zap.Logger) *Clerk {
-	return &Clerk{file: file, count: count, log: log, fitted: map[uint64]*counting.Fitted{}, second: counting.NewSecond(1)}
+// New makes a clerk of a file's terms.
+func New(file *counting.Terms, log *zap.Logger) *Clerk {
+	return &Clerk{file: file, log: log, fitted: map[uint64]*counting.Fitted{}, second: counting.NewSecond(1)}
 }
 
-// Count calls the counter for the module; the canary lives on a share of these calls.
-func (c *Clerk) Count(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) {
+// Called is for the gate: the canary lives on a share of the module's calls.
+func (c *Clerk) Called() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.calls++
-	c.mu.Unlock()
-	c.count(name, units, keep, told)
 }
 
-// Start puts the clerk between a gate and what is held in common. Site is what the gate was made with. The gate takes
-// tasks by rule from here on.
-func (c *Clerk) Start(g *gate.Gate, site policy.Deployment, commons cluster.Commons) error {
+func (c *Clerk) count(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) {
+	c.gate.Call(name, units, keep, told)
+}
+
+// start puts the clerk between a gate and what is held in common: tasks are taken by rule from here on.
+func (c *Clerk) start(commons cluster.Commons, g *gate.Gate) error {
 	c.gate, c.commons = g, commons
 	h, _ := c.hear()
 	c.mu.Lock()
 	c.refresh(h)
 	c.mu.Unlock()
-	if _, err := g.CountBy(c, site); err != nil {
+	if err := g.CountBy(c); err != nil {
 		return err
 	}
 	commons.Witness(func(add func(string, uint64)) {
@@ -87,27 +84,17 @@
 	c.file, c.merged = file, false
 }
 
-// Terms are those of the file as last read.
-func (c *Clerk) Terms() *counting.Terms {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.file
-}
-
-// Decider makes the decider of the table, for a voter that leads.
-func (c *Clerk) Decider(lease, wait time.Duration) *canary.Decider {
-	return &canary.Decider{Terms: c.Terms, Lease: lease, Wait: wait, Origin: c.gate.Now() - c.commons.Now(),
-		Fits: func(r counting.Rule) error {
-			c.mu.Lock()
-			site := c.base
-			c.mu.Unlock()
-			_, err := counting.Fit(r, counting.Plans(site, []counting.Rule{r}))
-			return err
-		}}
+// Run has a gate's tasks counted by the rule in force and follows the table until the context ends. An error tells that
+// the gate takes none of it: tasks are counted as ever.
+func (c *Clerk) Run(ctx context.Context, commons cluster.Commons, g *gate.Gate) error {
+	if err := c.start(commons, g); err != nil {
+		return err
+	}
+	c.run(ctx)
+	return nil
 }
 
-// Run follows the table until the context ends.
-func (c *Clerk) Run(ctx context.Context) {
+func (c *Clerk) run(ctx context.Context) {
 	each := time.NewTicker(tick)
 	defer each.Stop()
 	for {
@@ -128,7 +115,7 @@
 	h, held := c.hear()
 	c.mu.Lock()
 	fresh := c.refresh(h)
-	base, fence := c.base, c.standing(now, held)
+	fence := c.standing(now, held)
 	if tight := len(fence) > 1; tight != c.fenced {
 		c.fenced = tight
 		c.log.Info("counting: what rule holds is not known: what passes must pass all of these", zap.Bool("so", tight),
@@ -136,7 +123,7 @@
 	}
 	c.mu.Unlock()
 	if fresh {
-		if _, err := c.gate.CountBy(c, base); err != nil {
+		if err := c.gate.CountBy(c); err != nil {
 			c.log.Error("counting: the rules' plans are not taken", zap.Error(err))
 		}
 	}
@@ -197,7 +184,7 @@
 func (c *Clerk) Plans(site policy.Deployment) policy.Deployment {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.base, c.planned = site, true
+	c.planned = true
 	return counting.Plans(site, c.rules)
 }
 
--- a/internal/clerk/clerk_test.go
+++ b/internal/clerk/clerk_test.go
@@ -95,9 +95,9 @@
 		MaxRetryAfter: time.Second, RetryAfter: true, AnswerSlack: 8 * time.Millisecond, Settles: true,
 		Lanes: []policy.Lane{{Name: "look", SoftLimit: time.Second, Patience: 2 * time.Second, Gain: 1}},
 		Plans: []policy.Plan{{Name: "wide", Rate: 1, Burst: 300}}}
-	s.clerk = New(&counting.Terms{Rules: []counting.Rule{group}}, s.add, zap.NewNop())
+	s.clerk = New(&counting.Terms{Rules: []counting.Rule{group}}, zap.NewNop())
 	var err error
-	if s.g, err = gate.New(site, 7, gate.Outside{Count: s.clerk.Count}, zap.NewNop()); err != nil {
+	if s.g, err = gate.New(site, 7, gate.Outside{Count: s.add}, zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -105,10 +105,10 @@
 	go s.g.Tick(ctx)
 	s.g.List(policy.ListWhole, []gate.Server{{Name: "s-1", Dial: "here", Listed: policy.Listed{Stage: policy.Ready}}})
 	if with {
-		if err := s.clerk.Start(s.g, site, s.commons); err != nil {
+		if err := s.clerk.start(s.commons, s.g); err != nil {
 			t.Fatal(err)
 		}
-		go s.clerk.Run(ctx)
+		go s.clerk.run(ctx)
 	}
 	return s
 }
--- a/internal/gate/counts.go
+++ b/internal/gate/counts.go
@@ -15,6 +15,8 @@
 	Shaped(site policy.Deployment) policy.Deployment
 	// Take gives the counts of a task that is taken now. It keeps them whatever holds later.
 	Take(now time.Duration, t Task) Counted
+	// Called tells that the module calls the counter.
+	Called()
 }
 
 // Counted is how a task is counted.
@@ -44,12 +46,23 @@
 	return r
 }
 
-// CountBy has tasks counted as c says, from here on. Settings are those in force as c gives them.
-func (g *Gate) CountBy(c Counting, site policy.Deployment) (policy.Deployment, error) {
+// CountBy has tasks counted as c says, from here on; called again, it takes the plans anew. An error means that nothing
+// has changed.
+func (g *Gate) CountBy(c Counting) error {
 	now := g.enter()
 	defer g.leave()
+	was := g.counting
 	g.counting = c
-	return g.reshape(now, site)
+	_, err := g.reshape(now, g.site)
+	if err != nil {
+		g.counting = was
+	}
+	return err
+}
+
+// Call calls the counter past the module. It neither waits nor calls back before it returns.
+func (g *Gate) Call(name uint64, units float64, keep time.Duration, told func(float64, policy.Outcome)) {
+	g.outside.Count(name, units, keep, told)
 }
 
 // Now is the clock that windows go by, which all gateways share.
--- a/internal/gate/counts_test.go
+++ b/internal/gate/counts_test.go
@@ -25,9 +25,11 @@
 	return c
 }
 
+func (w *weights) Called() {}
+
 func (s *story) countBy(w *weights) {
 	s.Helper()
-	if _, err := s.g.CountBy(w, s.site); err != nil {
+	if err := s.g.CountBy(w); err != nil {
 		s.Fatal(err)
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -53,7 +53,8 @@
 	watch  chan struct{}
 	report int // how many figures a load report has
 
-	counting Counting // nil: every task counts under its customer
+	counting Counting          // nil: every task counts under its customer
+	site     policy.Deployment // as last given, without what counting adds
 }
 
 // call is a call to the counter.
@@ -70,8 +71,8 @@
 	start := time.Now()
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
 		errands: map[uint32]*Errand{}, servers: map[uint32]Server{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
-		pool:  pool.New(site.Me, site.Gateways, outside.Kept),
-		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
+		pool: pool.New(site.Me, site.Gateways, outside.Kept),
+		site: site, alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1), report: len(site.Reports)}
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
 	return g, err
@@ -86,6 +87,7 @@
 }
 
 func (g *Gate) reshape(now time.Duration, site policy.Deployment) (policy.Deployment, error) {
+	given := site
 	if g.counting != nil {
 		site = g.counting.Plans(site)
 	}
@@ -93,6 +95,7 @@
 	if err != nil {
 		return site, err
 	}
+	g.site = given
 	g.pool.Resize(site.Me, site.Gateways)
 	g.report = len(site.Reports)
 	if g.counting != nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -20,7 +20,6 @@
 type story struct {
 	*testing.T
 	g     *Gate
-	site  policy.Deployment
 	calls chan counted
 }
 
@@ -38,7 +37,6 @@
 		s.calls <- counted{units, told}
 	}
 	var err error
-	s.site = site
 	if s.g, err = New(site, 7, Outside{Count: count}, zap.NewNop()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -47,6 +47,9 @@
 func (g host) Count(name uint64, keep time.Duration, units float64) {
 	c := &call{name: name, at: g.now()}
 	g.calls = append(g.calls, c)
+	if g.counting != nil {
+		g.counting.Called()
+	}
 	g.outside.Count(name, units, keep, func(total float64, how policy.Outcome) {
 		g.enter()
 		defer g.leave()
