--- a/internal/canary/decider.go
+++ b/internal/canary/decider.go
@@ -25,10 +25,10 @@
 // It guards against a rule that rejects, lets in or overruns more than the terms allow. Harm: a rule whose keys are too
 // few or too far apart is refused undecided.
 type Decider struct {
-	Terms  func() *counting.Terms    // those of the file as last read; they may change between two calls of Decide
-	Lease  time.Duration             // of the table, at every process
-	Wait   time.Duration             // the longest that a read of the table waits
-	Origin time.Duration             // the common clock when now was 0
+	Terms  func() *counting.Terms // those of the file as last read; they may change between two calls of Decide
+	Lease  time.Duration          // of the table, at every process
+	Wait   time.Duration          // the longest that a read of the table waits
+	Origin time.Duration          // the common clock when now was 0
 
 	terms  *counting.Terms
 	epoch  uint64
