--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -22,8 +22,9 @@
 
 	begun bool
 	epoch uint64
-	plan  *Plan
-	cur   [][]int         // of the plan, by hall; nil: there is none
+	none  bool            // no plan stands: all are taken to serve near, as gateways without one do
+	plan  *Plan           // the one that stands, or an empty one
+	cur   [][]int         // its rows, by hall
 	rest  []time.Duration // until when a hall rests; 0: it doesn't
 	until time.Duration   // until when some may act on the rows before
 	wrote time.Duration   // when this decider saw the plan first
@@ -52,7 +53,7 @@
 	if e := seen.Held(Table); !d.begun || e.Epoch != d.epoch {
 		d.take(now, e)
 	}
-	if !d.looks.add(d.names.look(now, seen.Sums)) || !d.view.look(d.looks) || d.plan == nil && !d.view.settled() {
+	if !d.looks.add(d.names.look(now, seen.Sums)) || !d.view.look(d.looks) || d.none && !d.view.settled() {
 		return nil, false
 	}
 	next := d.next(now)
@@ -66,19 +67,20 @@
 // take takes the plan that stands. What is not known of it is taken at its worst: that it was written just now.
 func (d *Decider) take(now time.Duration, e tables.Entry) {
 	plan, err := Read(e.Value)
-	if err != nil {
-		plan = nil // spoilt: it is written anew
+	d.none = err != nil || plan == nil // a spoilt one is written anew
+	if d.none {
+		plan = &Plan{}
 	}
 	rows := d.matrix(plan)
 	for f, hall := range d.halls {
 		switch {
-		case plan == nil || !slices.Contains(plan.Resting, hall):
+		case !slices.Contains(plan.Resting, hall):
 			d.rest[f] = 0
 		case d.cur == nil || !slices.Equal(rows[f], d.cur[f]) || d.plan.Shed[hall] != plan.Shed[hall]:
 			d.rest[f] = now + d.terms.stay()
 		}
 	}
-	if !d.begun && plan != nil {
+	if !d.begun && !d.none {
 		d.remember(now, plan)
 	}
 	d.begun, d.epoch, d.plan, d.cur = true, e.Epoch, plan, rows
@@ -87,9 +89,6 @@
 
 // matrix is a plan's rows by the places of halls. A row that the plan lacks, or one of other halls, is near.
 func (d *Decider) matrix(p *Plan) (rows [][]int) {
-	if p == nil {
-		return nil
-	}
 	for f, from := range d.halls {
 		row, sum := make([]int, len(d.halls)), 0
 		for t, to := range d.halls {
--- a/internal/failover/next.go
+++ b/internal/failover/next.go
@@ -16,7 +16,7 @@
 	quarters []float64
 	demand   []float64
 	shut     [][]bool
-	share    [][]float64 // of the plan that stands, less what is shed; nil rows: there is none
+	share    [][]float64 // of the plan that stands, less what is shed
 	bad      [][]bool    // of these, what is to be fled from: lost, shut, or pushed over
 	gone     [][]bool    // of these, what is lost or shut
 	before   [][]float64 // the most that anybody may still push by earlier plans
@@ -33,7 +33,7 @@
 	any := slices.Contains(moved, true)
 	resting := []string{}
 	for f, hall := range d.halls {
-		if moved[f] && d.cur != nil || d.rest[f] > now {
+		if moved[f] || d.rest[f] > now {
 			resting = append(resting, hall)
 		}
 	}
@@ -41,12 +41,12 @@
 	p.Resting = resting
 	if any {
 		p.Before = s.old()
-	} else if d.plan != nil {
+	} else {
 		if p.Before = d.plan.Before; now >= d.until && len(resting) == 0 {
 			p.Before = nil
 		}
 	}
-	if any || d.plan == nil || s.stale(p) {
+	if any || d.none || s.stale(p) {
 		return p
 	}
 	return nil
@@ -91,7 +91,7 @@
 	n := len(d.halls)
 	for f, hall := range d.halls {
 		units, quarters := d.view.bears(f, hall)
-		if d.plan != nil && d.rest[f] > now {
+		if d.rest[f] > now {
 			if sound, ok := d.plan.Sound[hall]; ok && sound == 0 {
 				units, quarters = 0, 0 // a hall that was lost stays so for a least stay
 			}
@@ -104,9 +104,6 @@
 		shut, share, before := make([]bool, n), make([]float64, n), make([]float64, n)
 		for t, to := range d.halls {
 			shut[t] = d.view.shut(f, t)
-			if d.cur == nil {
-				continue
-			}
 			pair := [2]string{from, to}
 			shut[t] = shut[t] || d.rest[f] > now && slices.Contains(d.plan.Shut, pair)
 			share[t] = float64(d.cur[f][t]) / whole
@@ -123,7 +120,7 @@
 		s.shut, s.share, s.before = append(s.shut, shut), append(s.share, share), append(s.before, before)
 	}
 	for f := range n {
-		d.view.easy[f] = load[f] < d.terms.UtilisationMost*s.bears[f] && (d.cur == nil || s.share[f][f] == 1)
+		d.view.easy[f] = load[f] < d.terms.UtilisationMost*s.bears[f] && s.share[f][f] == 1
 		bad, gone := make([]bool, n), make([]bool, n)
 		for t := range n {
 			if s.share[f][t] > 0 && (t != f || s.share[f][t] > s.trial(f)+rounding) {
@@ -163,9 +160,6 @@
 
 // old is by pair the most that anybody may push by the plan that stands or by one before it.
 func (s *situation) old() map[string]map[string]int {
-	if s.cur == nil {
-		return nil
-	}
 	all := map[string]map[string]int{}
 	for f, from := range s.halls {
 		row := map[string]int{}
--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -22,10 +22,8 @@
 	moved, shed = make([]bool, n), make([]int, n)
 	rows = make([][]int, n)
 	for f, hall := range s.halls {
-		moved[f] = s.cur == nil || s.must(f) || s.may(f)
-		if s.cur != nil {
-			rows[f], shed[f] = s.cur[f], s.plan.Shed[hall]
-		}
+		moved[f] = s.must(f) || s.may(f)
+		rows[f], shed[f] = s.cur[f], s.plan.Shed[hall]
 	}
 	for again := true; again; {
 		again = false
@@ -53,9 +51,6 @@
 
 // full is what of a full hall's share of its own tasks is rejected at once all the same: what comes back by more than a step.
 func (s *situation) full(f, share int) int {
-	if s.cur == nil {
-		return 0
-	}
 	return max(share-int((s.share[f][f]+s.terms.Step)*whole), 0)
 }
 
@@ -67,13 +62,11 @@
 	for f := range n {
 		low, high := make([]float64, n), make([]float64, n)
 		k.trial[f] = s.trial(f) * s.demand[f]
-		k.lift[f] = s.cur == nil || s.plan.Shed[s.halls[f]] == 0
+		k.lift[f] = s.plan.Shed[s.halls[f]] == 0
 		for t := range n {
 			is, flee := s.share[f][t]*s.demand[f], s.bad[f][t]
 			step := is + s.terms.Step*s.demand[f]
 			switch {
-			case s.cur == nil:
-				high[t] = math.Inf(1)
 			case !s.must(f):
 				high[t] = step
 			case s.may(f) && t == f && !flee:
@@ -104,9 +97,6 @@
 
 // worth tells that a row is to move: it flees from what is lost or pushed over, a trial begins, or enough tasks move.
 func (s *situation) worth(f int, row []int, shed int) bool {
-	if s.cur == nil {
-		return true
-	}
 	most := 0.0
 	for t, share := range row {
 		is := s.share[f][t] * whole
@@ -144,9 +134,9 @@
 		if shed[f] > 0 {
 			p.Shed[from] = shed[f]
 		}
-		if moved[f] && s.cur != nil {
+		if moved[f] {
 			p.Why[from] = s.why(f)
-		} else if s.plan != nil && s.plan.Why[from] != "" {
+		} else if s.plan.Why[from] != "" {
 			p.Why[from] = s.plan.Why[from]
 		}
 	}
