--- a/internal/failover/judge.go
+++ b/internal/failover/judge.go
@@ -148,6 +148,8 @@
 }
 
 // judge says of each hall how much of it answers: as those see it that see most, since what others miss may be their link.
+// Where its own gateways, that had tasks, tell nothing, others' word speaks of their links to it alone: it may be cut off
+// from them and from the voters, and serve its own. Harm: if it is gone, each hall has to find that out for itself.
 func (v *view) judge(now time.Duration) {
 	for t := range v.sound {
 		best := -1
@@ -157,6 +159,7 @@
 			}
 		}
 		switch {
+		case best >= 0 && best <= witness.Ill && !v.heard[t] && v.demand[t] > tinyDemand:
 		case best >= 0:
 			v.sound[t], v.aged[t] = best, now
 		case v.aged[t]+agedOver*v.terms.stay() < now:
