--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -53,7 +53,7 @@
 	if e := seen.Held(Table); !d.begun || e.Epoch != d.epoch {
 		d.take(now, e)
 	}
-	if !d.looks.add(d.names.look(now, seen.Sums)) || !d.view.look(d.looks) || d.none && !d.view.settled() {
+	if !d.looks.add(d.names.look(now, seen.Sums)) || !d.view.look(d.looks) || d.none && now < d.view.began+riseOver {
 		return nil, false
 	}
 	next := d.next(now)
--- a/internal/failover/judge.go
+++ b/internal/failover/judge.go
@@ -15,11 +15,12 @@
 	aged     []time.Duration // when that was last told
 	pair     [][]int         // by from and to the same; -1: not known
 	pairAged [][]time.Duration
-	strength []float64 // listed, ready and warm, in servers of power 1; below 0: not told yet
-	demand   []float64 // units a second let in
-	many     []float64 // gateways
-	easy     []bool    // a hall that serves its own tasks and is not full
-	heard    []bool    // any gateway of the hall told anything of late
+	strength []float64       // listed, ready and warm, in servers of power 1; below 0: not told yet
+	demand   []float64       // units a second let in
+	many     []float64       // gateways
+	need     []time.Duration // over how long demand is measured
+	easy     []bool          // a hall that serves its own tasks and is not full
+	heard    []bool          // any gateway of the hall told anything of late
 	at       time.Duration
 	began    time.Duration // of the first look
 	measured bool          // demand was known before that
@@ -30,6 +31,9 @@
 	// not full: long enough that chance, where few tasks come in, is no flood.
 	riseOver = 3 * time.Second
 	easeOver = 5 * time.Second
+	// tasksOver is over how many pushes at the least, and quietMost the longest that this makes it.
+	tasksOver = 80.0
+	quietMost = 20 * time.Second
 	// fallOver is the same for less demand, at any other hall: while it is lost or full, less is let in than will be. It
 	// guards a receiver against filling up in between. Harm: after a flood, overflow lasts longer than it must.
 	fallOver = 20 * time.Second
@@ -46,7 +50,8 @@
 func newView(terms *Terms, halls int) *view {
 	v := &view{terms: terms, sound: make([]int, halls), aged: make([]time.Duration, halls),
 		strength: make([]float64, halls), demand: make([]float64, halls), many: make([]float64, halls),
-		heard: make([]bool, halls), easy: make([]bool, halls)}
+		heard: make([]bool, halls), easy: make([]bool, halls),
+		need: make([]time.Duration, halls)}
 	for i := range halls {
 		v.sound[i], v.strength[i], v.demand[i], v.easy[i] = witness.Sound, -1, -1, true
 		row := make([]int, halls)
@@ -168,8 +173,8 @@
 	}
 }
 
-// settled tells that demand is known well enough to move for its sake.
-func (v *view) settled() bool { return v.measured || v.at >= v.began+riseOver }
+// settled tells that demand is known well enough to move a hall's tasks for its sake.
+func (v *view) settled(f int) bool { return v.measured || v.at >= v.began+min(v.need[f], quietMost) }
 
 // measure takes how many gateways a hall has and what they let in. Both go by each gateway's own time, so that a digest
 // that comes late and holds much is no flood.
@@ -210,7 +215,9 @@
 	if v.demand[f] < 0 {
 		v.demand[f] = rate
 	}
-	if !v.measured {
+	pushes := (last.ended[f] - first.ended[f]) / each * v.many[f] * 1000 // a second
+	over = max(over, time.Duration(min(tasksOver/max(pushes, 1), quietMost.Seconds())*float64(time.Second)))
+	if v.need[f] = over; !v.measured {
 		over = min(over, max(v.at-v.began, step)) // at first the mean of all so far
 	}
 	v.demand[f] += (rate - v.demand[f]) * -math.Expm1(-float64(step)/float64(max(over, 1)))
--- a/internal/failover/look.go
+++ b/internal/failover/look.go
@@ -27,6 +27,7 @@
 // names are the names of the counts that are looked at, made once.
 type names struct {
 	time, let       []string
+	ended           [][]string                    // by from, all
 	judged          [][][witness.Sound + 1]string // from, to
 	ready, strength [][witness.Bands]string
 }
@@ -36,14 +37,18 @@
 	for _, h := range halls {
 		n.time, n.let = append(n.time, witness.Time(h)), append(n.let, witness.Let(h))
 		var row [][witness.Sound + 1]string
+		var ended []string
 		for _, to := range halls {
+			for _, how := range witness.Hows() {
+				ended = append(ended, witness.Ended(h, to, how))
+			}
 			var js [witness.Sound + 1]string
 			for q := range js {
 				js[q] = witness.Judged(h, to, q)
 			}
 			row = append(row, js)
 		}
-		n.judged = append(n.judged, row)
+		n.judged, n.ended = append(n.judged, row), append(n.ended, ended)
 		var ready, strength [witness.Bands]string
 		for b := range witness.Bands {
 			ready[b], strength[b] = witness.Ready(h, b), witness.Strength(h, b)
@@ -57,6 +62,7 @@
 type look struct {
 	at              time.Duration
 	time, let       []float64
+	ended           []float64 // pushes of the hall's gateways
 	judged          [][][witness.Sound + 1]float64
 	ready, strength [][witness.Bands]float64
 }
@@ -65,6 +71,11 @@
 	l := &look{at: now}
 	for i := range n.time {
 		l.time, l.let = append(l.time, float64(sums[n.time[i]])), append(l.let, float64(sums[n.let[i]]))
+		ended := 0.0
+		for _, name := range n.ended[i] {
+			ended += float64(sums[name])
+		}
+		l.ended = append(l.ended, ended)
 		row := make([][witness.Sound + 1]float64, len(n.time))
 		for t := range row {
 			for q := range row[t] {
--- a/internal/failover/next.go
+++ b/internal/failover/next.go
@@ -125,7 +125,7 @@
 		for t := range n {
 			if s.share[f][t] > 0 && (t != f || s.share[f][t] > s.trial(f)+rounding) {
 				gone[t] = s.bears[t] <= 0 || s.shut[f][t]
-				bad[t] = gone[t] || d.view.settled() && load[t] > s.fleeAt()*s.bears[t]
+				bad[t] = gone[t] || d.view.settled(f) && load[t] > s.fleeAt()*s.bears[t]
 			}
 		}
 		s.bad, s.gone = append(s.bad, bad), append(s.gone, gone)
--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -13,7 +13,9 @@
 
 // may tells that a hall's tasks may move for any reason. Those of a hall whose gateways tell nothing stay: nobody knows
 // what they do.
-func (s *situation) may(f int) bool { return s.view.settled() && s.view.heard[f] && s.rest[f] <= s.now }
+func (s *situation) may(f int) bool {
+	return s.view.settled(f) && s.view.heard[f] && s.rest[f] <= s.now
+}
 
 // lay gives the rows of the next plan, what they shed and which of them moved. A row that it is not worth to move stays;
 // then the others are laid out anew around it.
--- a/internal/failover/world_test.go
+++ b/internal/failover/world_test.go
@@ -77,6 +77,7 @@
 		}
 		w.add(witness.Time(from), ms*float64(w.gateways[f]))
 		w.add(witness.Let(from), w.demand[f]*ms)
+		w.add(witness.Ended(from, from, "well"), 10) // a hundred pushes a second
 		for g := range w.gateways[f] {
 			blind := g == 0 && w.blind[f]
 			for t, to := range w.halls {
--- a/internal/witness/names.go
+++ b/internal/witness/names.go
@@ -37,6 +37,9 @@
 // Pushed names the units, in thousandths, of all pushes from a hall to a hall.
 func Pushed(from, to string) string { return evidence.Name("pushed", from, to) }
 
+// Hows are the ways in which Ended counts that pushes end.
+func Hows() []string { return []string{well, ill, full} }
+
 // Ended names the pushes from a hall to a hall that ended well, ill, or full (turned away).
 func Ended(from, to, how string) string { return evidence.Name("ended", from, to, how) }
 
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -94,7 +94,7 @@
 		for q := range h.judgedAs {
 			h.judgedAs[q] = Judged(own, to, q)
 		}
-		for i, how := range []string{well, ill, full} {
+		for i, how := range Hows() {
 			h.endedAs[i] = Ended(own, to, how)
 		}
 		for b := range Bands {
