--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -104,7 +104,7 @@
 func (g *Gate) sized(site *policy.Deployment) {
 	g.report, g.countLimit, g.shedAway = len(site.Reports), site.CountLimit, 0
 	if site.RetryAfter {
-		g.shedAway = min(shedAway, site.MaxRetryAfter)
+		g.shedAway = min(shedAway(site.Lanes), site.MaxRetryAfter)
 	}
 	if g.outside.Witness != nil {
 		g.outside.Witness.Reshape(site)
--- a/internal/gate/steer.go
+++ b/internal/gate/steer.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"time"
 
 	"harrierhoist/internal/pool"
@@ -10,8 +11,18 @@
 // This file is how the gate is steered between halls, and how it tells what it sees of them. Without a witness and
 // without weights nothing of it runs.
 
-// shedAway is how long a client whose task fits in no hall is told to stay away: about as long as a plan takes to change.
-const shedAway = time.Second
+// shedAway is how long a client whose task fits in no hall is told to stay away: a quarter of the tightest soft limit, as
+// the module says where no server can be had. Room elsewhere is shared by lot, so another try soon may find some: with a
+// second in its place more of those shed ran out of time (docs/failover.md).
+func shedAway(lanes []policy.Lane) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, l := range lanes {
+		if !l.Closed {
+			least = min(least, l.SoftLimit)
+		}
+	}
+	return least / 4
+}
 
 // Steering is how the gate is steered.
 type Steering struct {
--- a/internal/gate/steer_test.go
+++ b/internal/gate/steer_test.go
@@ -56,7 +56,7 @@
 func TestWhatFitsNowhereIsRejected(t *testing.T) {
 	s := halls(t)
 	s.g.Steer(Steering{}, 0, Steering{Weights: []float64{1, 0}, Shed: 1})
-	if c := s.want(s.admit(0, 0, time.Second), Reject); c.Away != time.Second {
+	if c := s.want(s.admit(0, 0, time.Second), Reject); c.Away != 150*time.Millisecond {
 		t.Errorf("told to stay away %v", c.Away)
 	}
 	e := s.g.Admit(Task{Customer: 5, Units: 2, Width: 1, Patience: time.Second, Repeat: true})
