--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -51,7 +51,8 @@
 	return rows, shed, moved
 }
 
-// full is what of a full hall's share of its own tasks is rejected at once all the same: what comes back by more than a step.
+// full is what of a full hall's share of its own tasks is rejected at once all the same: what comes back by more than a
+// step.
 func (s *situation) full(f, share int) int {
 	return max(share-int((s.share[f][f]+s.terms.Step)*whole), 0)
 }
--- a/internal/failover/stories_test.go
+++ b/internal/failover/stories_test.go
@@ -123,7 +123,7 @@
 	w.want(t, "load at c", w.load(2), 79, 80.01)
 }
 
-// A new leader has no clock of the old: who rested goes on resting for a whole stay from its start, and who did not may flee.
+// A new leader has no clock of the old: who rested goes on resting for a whole stay from its start.
 func TestNewLeaderKeepsTheRest(t *testing.T) {
 	w := calm(t, 3)
 	w.sound[0] = 0
--- a/internal/gate/steer.go
+++ b/internal/gate/steer.go
@@ -26,7 +26,8 @@
 
 // Steering is how the gate is steered.
 type Steering struct {
-	// Weights are by the number of a hall in what proportion its servers are handed to the module; nil: as the list has them.
+	// Weights are by the number of a hall in what proportion its servers are handed to the module; nil: as the list
+	// has them.
 	Weights []float64
 	// Shed is the part of tasks that is rejected at once, 0 to 1.
 	Shed float64
