--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -52,8 +52,10 @@
 	choices chan Choice
 	pushes  int
 	server  uint32
+	hall    int // of that server
 	at      time.Duration
 	giveUp  context.CancelFunc // of the push that is out
+	units   float64
 	over    bool
 	counted *Counted // nil: under its customer alone
 }
@@ -62,11 +64,12 @@
 func (g *Gate) Admit(t Task) *Errand {
 	now := g.enter()
 	defer g.leave()
-	if g.pool.Due(now) {
-		g.hand(now, policy.ListWhole)
-	}
+	g.keep(now)
 	g.latest++
-	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
+	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units} // a push and what is final
+	if g.shed(e, t.Repeat) {
+		return e
+	}
 	g.errands[e.id] = e
 	task := policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
 		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat}
@@ -86,6 +89,9 @@
 	now := e.g.enter()
 	defer e.g.leave()
 	e.giveUp()
+	if w := e.g.outside.Witness; w != nil {
+		w.Ended(now, e.hall, e.server, r.Outcome, now-e.at)
+	}
 	if e.counted != nil {
 		r = e.counted.weigh(r)
 	}
