--- a/internal/cluster/core/core.go
+++ b/internal/cluster/core/core.go
@@ -1,5 +1,5 @@
-// Package core is a voter without its surroundings: the raft of go.etcd.io/raft/v3, the tables that its log makes, and the
-// members. It knows no disk, socket, clock or goroutine: ticks, messages and calls are handed in, and what is to be
+// Package core is a voter without its surroundings: the raft of go.etcd.io/raft/v3, the tables that its log makes, and
+// the members. It knows no disk, socket, clock or goroutine: ticks, messages and calls are handed in, and what is to be
 // written, sent and answered comes out. The same events with the same seed give the same actions.
 package core
 
@@ -56,12 +56,14 @@
 	conf    *raftpb.ConfState // as of the last entry applied
 	applied uint64
 	term    uint64 // of the last entry applied
-	seq     uint64 // of calls: grows over lives, as its upper half is the life's count
-	chance  *rand.Rand
-	quiet   int            // ticks since a leader was heard of or a vote given
-	patient int            // ticks of quiet until this voter stands for election
-	snaps   map[uint64]int // ticks since a snapshot was sent, by number
-	heard   map[uint64]sender
+	// changing is the term in which a change of the members was proposed that is not yet applied; 0: none
+	changing uint64
+	seq      uint64 // of calls: grows over lives, as its upper half is the life's count
+	chance   *rand.Rand
+	quiet    int            // ticks since a leader was heard of or a vote given
+	patient  int            // ticks of quiet until this voter stands for election
+	snaps    map[uint64]int // ticks since a snapshot was sent, by number
+	heard    map[uint64]sender
 }
 
 var mode = func() cbor.EncMode {
@@ -78,9 +80,10 @@
 // hush gives it to the library's store as well, which has one for all.
 var hush = sync.OnceFunc(func() { raft.SetLogger(quiet) })
 
-// Start makes a voter of what its disk holds. With none, first are the members that begin the log, and the host must
-// have Base written before anything else; without those either, it waits for a leader that adds it. What the disk
-// says of the voter's number goes before self. Errors: ErrSpoilt, or a number that is not among first.
+// Start makes a voter of what its disk holds. With none, first are the members that begin the log: all of them must be
+// given the same, disks included, and the host must have Base written before anything else. Without those either, it
+// waits for a leader that adds it. What the disk says of the voter's number goes before self. Errors: ErrSpoilt, or a
+// number that is not among first.
 func Start(self cluster.Member, life Life, first []cluster.Member, records [][]byte, seed uint64) (c *Core, err error) {
 	defer func() {
 		if p := recover(); p != nil { // the library's word for a log with gaps
--- a/internal/cluster/core/members.go
+++ b/internal/cluster/core/members.go
@@ -58,6 +58,8 @@
 	switch {
 	case m.Number <= r.Top:
 		return fmt.Errorf("number %d was given before; the next is %d", m.Number, r.Top+1)
+	case m.Number >= numberMost:
+		return fmt.Errorf("number %d is too high; the next is %d", m.Number, r.Top+1)
 	case m.Name == "" || m.Address == "":
 		return errors.New("a member needs a name and an address")
 	case slices.ContainsFunc(r.Members, func(o cluster.Member) bool { return o.Address == m.Address }):
@@ -81,12 +83,12 @@
 	State []byte `cbor:"2,keyasint"`
 }
 
+// begin makes the first snapshot. A first member whose disk is not named has it written down once it is heard of.
 func (c *Core) begin(first []cluster.Member) error {
 	r := roll{Members: slices.Clone(first)}
 	slices.SortFunc(r.Members, func(a, b cluster.Member) int { return int(a.Number) - int(b.Number) })
 	conf := &raftpb.ConfState{}
 	for i := range r.Members {
-		r.Members[i].Disk = "" // known, and written down, once it is heard of
 		r.Top = r.Members[i].Number
 		conf.Voters = append(conf.Voters, r.Top)
 	}
@@ -146,8 +148,10 @@
 	if !c.Leads() {
 		return 0, cluster.ErrNotLeader
 	}
-	if !c.Settled() {
-		return 0, ErrChange // one of an earlier leader may be on its way
+	// The library writes nothing in place of a change that comes too early, and says nothing of it: one of an earlier
+	// leader may be on its way, or one of this voter's own.
+	if !c.Settled() || c.changing == c.term {
+		return 0, ErrChange
 	}
 	if err := c.members.check(m, remove); err != nil {
 		return 0, err
@@ -165,6 +169,7 @@
 		Changes: []*raftpb.ConfChangeSingle{{Type: &kind, NodeId: &m.Number}}}); err != nil {
 		return 0, cluster.ErrNotLeader
 	}
+	c.changing = c.term
 	return c.seq, nil
 }
 
