--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -285,5 +285,5 @@
 // gatewayCommand is a gateway of the laboratory's own, as a process: the demo starts some.
 func gatewayCommand() *cobra.Command {
 	return &cobra.Command{Use: "gateway CONFIG.json", Short: "run one gateway, as harrierhoist does", Args: cobra.ExactArgs(1), Hidden: true,
-		RunE: func(_ *cobra.Command, args []string) error { return daemon.Run(args[0], "") }}
+		RunE: func(_ *cobra.Command, args []string) error { return daemon.Run(args[0]) }}
 }
--- a/internal/cluster/follow/follow.go
+++ b/internal/cluster/follow/follow.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,7 +45,6 @@
 	pauseMost  = time.Second            // once they are back, all followers are within about that
 	homeAfter  = time.Minute            // at another voter, before the one of its own is tried again
 	homeWithin = 250 * time.Millisecond // that a try may take from the lease
-	spread     = 2                      // digests are drawn apart by half of their pause, so that fleets do not beat
 )
 
 // Follower holds what one process knows. It implements cluster.Commons.
@@ -147,27 +145,6 @@
 	return f.at == 0
 }
 
-// tell sends a digest at each of its times. One that is lost is not sent again: the next has all that it had.
-func (f *Follower) tell(ctx context.Context) {
-	for serial := uint64(1); ; serial++ {
-		_, _, timing := f.source()
-		half := timing.DigestEvery / spread
-		if !pause(ctx, half+rand.N(2*half+1)) {
-			return
-		}
-		merged, exact := f.counts.sums()
-		s, session, _ := f.source()
-		if s == nil || len(merged)+len(exact) == 0 {
-			continue
-		}
-		d := evidence.Digest{Process: f.process, Incarnation: f.incarnation, Serial: serial, Session: session,
-			Counts: merged, Exact: exact}
-		if s.Tell(ctx, d) != nil && ctx.Err() == nil {
-			f.turn(session)
-		}
-	}
-}
-
 // read holds a waiting read at one voter after another.
 func (f *Follower) read(ctx context.Context) {
 	between := &backoff.ExponentialBackOff{InitialInterval: pauseFirst, Multiplier: 1.5, RandomizationFactor: 0.5,
--- a/internal/cluster/follow/held.go
+++ b/internal/cluster/follow/held.go
@@ -91,31 +91,3 @@
 	defer s.mu.RUnlock()
 	return s.rest
 }
-
-// counts are what a process has counted since its start.
-type counts struct {
-	mu     sync.Mutex
-	merged []func(add func(string, uint64))
-	exact  []func(add func(string, uint64))
-}
-
-func (c *counts) witness(to *[]func(add func(string, uint64)), f func(add func(string, uint64))) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	*to = append(*to, f)
-}
-
-// sums has every witness give its counts; two that give the same name are added.
-func (c *counts) sums() (merged, exact map[string]uint64) {
-	c.mu.Lock()
-	m, e := c.merged, c.exact
-	c.mu.Unlock()
-	gather := func(from []func(add func(string, uint64))) map[string]uint64 {
-		all := map[string]uint64{}
-		for _, f := range from {
-			f(func(name string, n uint64) { all[name] += n })
-		}
-		return all
-	}
-	return gather(m), gather(e)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,9 +29,12 @@
 	heapPart     = 2  // the part of the memory limit that the heap may grow to before it is swept harder
 )
 
-// Run serves as the file at a path says, until it is asked to end. Where a charter is named it takes part in what
-// processes hold in common; a voter needs no other file.
-func Run(path, charter string) error {
+// Run serves as the file at a path says, until it is asked to end.
+func Run(path string) error { return RunIn(path, "") }
+
+// RunIn is Run of a process that takes part in what processes hold in common, as the charter at a path says; none: it
+// takes no part. A voter needs no file but the charter.
+func RunIn(path, charter string) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else: it would end the program
 	if path == "" && charter != "" {
