--- /dev/null
+++ b/cmd/harrierhoist/off_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Measures what the program costs with nothing in common, against an earlier build of it: BEFORE and NOW name the two,
+// built alike. Its table is in docs/cluster.md.
+func TestCostWithNothingInCommon(t *testing.T) {
+	before, now := os.Getenv("BEFORE"), os.Getenv("NOW")
+	if before == "" || now == "" {
+		t.Skip("a measurement: BEFORE=/an/earlier/harrierhoist NOW=/this/one")
+	}
+	built := program
+	defer func() { program = built }()
+	const rounds = 15
+	programs := map[string]string{"before": before, "now": now}
+	starts, memory, tasks := map[string][]time.Duration{}, map[string][]int{}, map[string][]time.Duration{}
+	for range rounds {
+		for name, path := range programs {
+			program = path
+			t.Run(name, func(t *testing.T) {
+				began := time.Now()
+				w := begin(t, 1024, hello)
+				starts[name] = append(starts[name], time.Since(began))
+				c := &club{T: t}
+				c.running = map[string]*exec.Cmd{"g": w.cmd}
+				client := w.dial()
+				for range 200 { // warm
+					client.send(look("c=look,t=wide,d=4800,units=1"))
+					client.want("hello")
+				}
+				was, _, _ := c.used("g")
+				const each = 3000
+				for range each {
+					client.send(look("c=look,t=wide,d=4800,units=1"))
+					client.want("hello|-BUSY.*")
+				}
+				cpu, _, _ := c.used("g")
+				tasks[name] = append(tasks[name], (cpu-was)/each)
+				memory[name] = append(memory[name], resident(w.cmd.Process.Pid))
+				_ = w.cmd.Process.Kill()
+			})
+		}
+	}
+	for _, name := range []string{"before", "now"} {
+		info, err := os.Stat(programs[name])
+		if err != nil {
+			t.Fatal(err)
+		}
+		slices.Sort(starts[name])
+		slices.Sort(memory[name])
+		slices.Sort(tasks[name])
+		t.Logf("%s: file %d kB; medians of %d: start to ready %v, resident %d kB, CPU a task %v", name, info.Size()>>10, rounds,
+			starts[name][rounds/2], memory[name][rounds/2], tasks[name][rounds/2])
+	}
+}
+
+// resident is a process's resident memory in kB.
+func resident(pid int) (kb int) {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if at := strings.Index(string(status), "VmRSS:"); at >= 0 {
+		_, _ = fmt.Sscanf(string(status)[at:], "VmRSS: %d kB", &kb)
+	}
+	return kb
+}
