--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -146,3 +146,10 @@
 		t.Errorf("%q, %+v", keys, now)
 	}
 }
+
+func TestExampleIsGood(t *testing.T) {
+	c, err := Read("../../deploy/common.example.toml")
+	if err != nil || c.Self() == nil || len(c.Voters) != 3 {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
