--- a/internal/cluster/link/server.go
+++ b/internal/cluster/link/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	since  time.Time
 	log    *zap.Logger
 	closed chan struct{}
+	conns  sync.WaitGroup
 }
 
 // toldEvery is between two lines on too many connections: each one would be a line per follower.
@@ -64,15 +66,17 @@
 	return s
 }
 
-// Close ends all calls and connections.
+// Close ends all calls and connections, and waits for them: up to half a second where a body was just refused.
 func (s *Server) Close() {
 	_ = s.http.Close()
 	<-s.closed
+	s.conns.Wait()
 }
 
 func (s *Server) count(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
+		s.conns.Add(1)
 		if s.open.Add(1) > s.most {
 			now, was := int64(time.Since(s.since)), s.told.Load()
 			if now-was >= int64(toldEvery) && s.told.CompareAndSwap(was, now) {
@@ -82,6 +86,7 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		s.open.Add(-1)
+		s.conns.Done()
 	}
 }
 
--- a/internal/commons/meet.go
+++ b/internal/commons/meet.go
@@ -101,6 +101,7 @@
 				s.process.log.Error("this voter cannot begin", zap.Error(err))
 				return false
 			}
+			s.process.follower.Move(s.process.sources(c), timing(c)) // it had turned to others meanwhile
 			s.process.log.Info("this voter has begun", zap.Uint64("number", self.Number), zap.Int("first", len(v.first)))
 			return true
 		}
