--- a/internal/cluster/follow/held_test.go
+++ b/internal/cluster/follow/held_test.go
@@ -1,10 +1,12 @@
 package follow
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"harrierhoist/internal/cluster/tables"
@@ -67,3 +69,26 @@
 		}
 	})
 }
+
+// slow takes its time to answer.
+type slow struct {
+	asleep
+	now *time.Duration
+}
+
+func (s slow) Read(context.Context, map[string]uint64, time.Duration) (Answer, error) {
+	*s.now += 700 * time.Millisecond
+	return Answer{Tables: map[string]tables.Entry{"plan": {Epoch: 1}}, Group: []byte("g")}, nil
+}
+
+// An answer that was long on its way tells what was, not what is: the lease counts from when the read was sent.
+func TestLeaseCountsFromTheSending(t *testing.T) {
+	now := 10 * time.Second
+	f := New("g1", 1, nil, Timing{}, func() time.Duration { return now }, zap.NewNop())
+	if err := f.ask(t.Context(), slow{now: &now}, 0, 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if h := f.Held("plan"); h.Epoch != 1 || h.Until != 12*time.Second || now != 10700*time.Millisecond {
+		t.Errorf("held %+v at %v", h, now)
+	}
+}
