--- a/internal/cluster/follow/follow.go
+++ b/internal/cluster/follow/follow.go
@@ -201,7 +201,7 @@
 	if err != nil {
 		return err
 	}
-	return f.take(known, answer, sent+lease)
+	return f.take(answer, sent+lease)
 }
 
 // pause waits, and tells whether the context goes on.
--- a/internal/cluster/follow/group.go
+++ b/internal/cluster/follow/group.go
@@ -16,7 +16,7 @@
 // take takes an answer of the voters that this process has followed from its start. It guards against voters that lost
 // all their disks and began anew: a table of theirs at epoch 3 is not older than one held at 57, it is another. The
 // harm is that a process that held something then must be started again.
-func (f *Follower) take(known map[string]uint64, answer Answer, until time.Duration) error {
+func (f *Follower) take(answer Answer, until time.Duration) error {
 	mine := f.shelf.get(GroupTable)
 	if !answer.Own && mine.Epoch > 0 && !bytes.Equal(mine.Value, answer.Group) {
 		if len(answer.Group) > 0 {
@@ -24,7 +24,7 @@
 		}
 		return errAlien // a voter that does not know its group yet will know it soon
 	}
-	f.shelf.take(known, answer.Tables, until)
+	f.shelf.take(answer.Tables, until)
 	return nil
 }
 
--- a/internal/cluster/follow/held.go
+++ b/internal/cluster/follow/held.go
@@ -29,29 +29,24 @@
 	return known
 }
 
-// take takes the answer to a read that was sent with epochs known, and holds what it confirms until a time that counts
-// from when it was sent. An epoch never goes back, nor does a lease.
-func (s *shelf) take(known map[string]uint64, answer map[string]tables.Entry, until time.Duration) {
+// take takes the answer to a read, and holds all until a time that counts from when it was sent. An epoch never goes
+// back, nor does a lease. An answer that knows less than is held confirms it all the same: what is held was written after
+// that answer was confirmed, so after the read was sent.
+func (s *shelf) take(answer map[string]tables.Entry, until time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	news := until > s.rest && s.rest == 0
 	for name, e := range answer {
 		if h := s.held[name]; e.Epoch > h.Epoch {
-			s.held[name] = cluster.Held{Table: name, Epoch: e.Epoch, Value: e.Value, Until: h.Until}
+			s.held[name] = cluster.Held{Table: name, Epoch: e.Epoch, Value: e.Value}
 			news = true
 		}
 	}
+	s.rest = max(s.rest, until)
 	for name, h := range s.held {
-		stands := known[name] // what the answer says the table stood at
-		if e, ok := answer[name]; ok {
-			stands = e.Epoch
-		}
-		if stands == h.Epoch {
-			h.Until = max(h.Until, until)
-			s.held[name] = h
-		}
+		h.Until = s.rest
+		s.held[name] = h
 	}
-	s.rest = max(s.rest, until)
 	if news {
 		s.tell()
 	}
--- a/internal/cluster/follow/held_test.go
+++ b/internal/cluster/follow/held_test.go
@@ -52,7 +52,7 @@
 			reads = append(reads, r)
 			for range rapid.IntRange(0, 2).Draw(t, "arrivals") {
 				r := rapid.SampledFrom(reads).Draw(t, "which")
-				s.take(r.known, r.answer, r.sent+lease)
+				s.take(r.answer, r.sent+lease)
 				h := s.get("plan")
 				if h.Epoch < highest {
 					t.Fatalf("epoch %d after %d", h.Epoch, highest)
