Failover and counting rules begin with the charter's tables

Their deciders run where a voter leads, their other halves beside the gateway's tasks. A hall that the gateway's file does not have is refused; a part comes and goes with a restart, its terms change in place.

--- a/cmd/harrierhoist/common_test.go
+++ b/cmd/harrierhoist/common_test.go
@@ -56,7 +56,7 @@
 // file writes a process's file and gives its path; a voter has a folder of its own.
 func (c *club) file(name, disk string) string {
 	c.Helper()
-	text := fmt.Sprintf("[process]\nname = %q\n", name)
+	text := fmt.Sprintf("[process]\nname = %q\nhall = \"hall-a\"\n", name)
 	if disk != "" {
 		text += fmt.Sprintf("voter = true\ndisk = %q\n", disk)
 	}
--- a/cmd/harrierhoist/voters_test.go
+++ b/cmd/harrierhoist/voters_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -77,9 +78,9 @@
 	c.write("plan", 0, "one")
 	good, _ := os.ReadFile(c.file("v1", c.disk("v1")))
 	for text, line := range map[string]string{
-		strings.Replace(string(good), "single", "singel", 1):                           "process.singel is no key",
-		strings.Replace(string(good), "voter = true", "voter = true\nhall = \"b\"", 1): `left as it was: this takes a restart","process":"v1","keys":["process.hall"]`,
-		string(good) + "[timing]\nlease = \"1s\"\n":                                    "a new charter",
+		strings.Replace(string(good), "single", "singel", 1): "process.singel is no key",
+		strings.Replace(string(good), "hall-a", "hall-b", 1): `left as it was: this takes a restart","process":"v1","keys":["process.hall"]`,
+		string(good) + "[timing]\nlease = \"1s\"\n":          "a new charter",
 	} {
 		if err := os.WriteFile(c.file("v1", c.disk("v1")), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -127,3 +128,35 @@
 		t.Errorf("ended with %v: %s", err, c.logs["other"])
 	}
 }
+
+// The parts that are on begin with the gateway, by the hall that it stands in; one that its halls do not have is refused.
+func TestPartsBeginWithTheGateway(t *testing.T) {
+	c := newClub(t, "v1")
+	c.voters = "single = true\n" + c.voters + `
+[failover]
+on = true
+bears = 100.0
+[[failover.regions]]
+name = "here"
+halls = ["hall-a"]
+[counting]
+try = 0
+`
+	c.start("v1")
+	c.gateway("g1")
+	c.write("plan", 0, "one")
+	c.says("g1", `"plan":1`)
+	text, _ := os.ReadFile(c.file("g1", ""))
+	if err := os.WriteFile(c.dir+"/else.toml", []byte(strings.ReplaceAll(string(text), "hall-a", "hall-z")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	config, _ := os.ReadFile(c.dir + "/g1.json")
+	config = regexp.MustCompile(`"listen":"[^"]*"`).ReplaceAll(config, fmt.Appendf(nil, `"listen":%q`, freeAddress(t)))
+	if err := os.WriteFile(c.dir+"/else.json", config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.run("else", "RELAY_CONFIG="+c.dir+"/else.json", "RELAY_COMMON="+c.dir+"/else.toml")
+	if err := c.running["else"].Wait(); err == nil || strings.Count(c.logs["else"].String(), "process.hall must be one of") != 1 {
+		t.Errorf("ended with %v: %s", err, c.logs["else"])
+	}
+}
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -5,6 +5,9 @@
 import (
 	"slices"
 	"time"
+
+	"harrierhoist/internal/counting"
+	"harrierhoist/internal/failover"
 )
 
 // Charter is the file. Times are written as "200ms" or "2s".
@@ -15,9 +18,9 @@
 
 	// The parts, each a table with its terms; one that is left out is off. A part adds one line here, and its
 	// terms have a method Check() []error whose errors name the key and what is allowed.
-	//   PLACE failover: Failover *failover.Terms `toml:"failover"`
-	//   PLACE counting: Counting *counting.Terms `toml:"counting"`
-	//   PLACE debts:    Debts *debts.Terms `toml:"debts"`
+	Failover *failover.Terms `toml:"failover"`
+	Counting *counting.Terms `toml:"counting"`
+	//   PLACE debts: Debts *debts.Terms `toml:"debts"`
 }
 
 // Process is who this process is.
@@ -83,12 +86,19 @@
 // Terms are the parts' own tables that the file has, by the table's name.
 func (c *Charter) Terms() map[string]interface{ Check() []error } {
 	terms := map[string]interface{ Check() []error }{}
-	//   PLACE failover: if c.Failover != nil { terms["failover"] = c.Failover }
-	//   PLACE counting: if c.Counting != nil { terms["counting"] = c.Counting }
-	//   PLACE debts:    if c.Debts != nil { terms["debts"] = c.Debts }
+	if c.Failover != nil {
+		terms["failover"] = c.Failover
+	}
+	if c.Counting != nil {
+		terms["counting"] = c.Counting
+	}
+	//   PLACE debts: if c.Debts != nil { terms["debts"] = c.Debts }
 	return terms
 }
 
+// FailsOver tells whether failover is on.
+func (c *Charter) FailsOver() bool { return c.Failover != nil && c.Failover.On }
+
 // Self is the entry of this process among the voters, nil where it is none.
 func (c *Charter) Self() *Voter {
 	if !c.Process.Voter {
@@ -122,5 +132,13 @@
 		}
 	}
 	c.Process = was
+	// A part comes and goes with a restart; its terms change in place.
+	if c.FailsOver() != old.FailsOver() {
+		keys, c.Failover = append(keys, "failover"), old.Failover
+	}
+	if (c.Counting == nil) != (old.Counting == nil) {
+		keys, c.Counting = append(keys, "counting"), old.Counting
+	}
+	//   PLACE debts: the same
 	return keys
 }
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -85,8 +85,14 @@
 number = 5
 name = "v4"
 address = "127.0.0.1:7414"`, `voter must be 3 or 5 voters (or 1 where process.single = true, for trials), not 4`},
-		{`[timing]`, `[time]`, `time is no key; the file takes process, timing, voter`},
+		{`[timing]`, `[time]`, `time is no key; the file takes counting, failover, process, timing, voter`},
 		{`[timing]`, `[timing`, `line 8: `},
+		{`[timing]`, `[failover]
+on = true
+utilisation_most = 2.0
+[timing]`, `failover.bears: a number from 0.001 to 1e+09 is wanted, not 0
+failover.regions: at least one region with a name and its halls is wanted, not none
+failover.utilisation_most: a number from 0.3 to 0.95 is wanted, not 2`},
 	} {
 		if strings.Count(good, row.old) == 0 {
 			t.Fatalf("%q is not in the file", row.old)
--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -5,59 +5,106 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/signal"
+	"slices"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
+	"harrierhoist/internal/canary"
 	"harrierhoist/internal/charter"
+	"harrierhoist/internal/clerk"
 	"harrierhoist/internal/cluster"
 	"harrierhoist/internal/commons"
-	"harrierhoist/internal/gate"
+	"harrierhoist/internal/counting"
+	"harrierhoist/internal/failover"
+	"harrierhoist/internal/steer"
 )
 
 // common is this gateway's part in what processes hold in common; nil where no charter is named.
 type common struct {
 	process *commons.Process
+	clerk   *clerk.Clerk // nil where counting rules are off
 }
 
+// started is when the deciders' clock began, within a few milliseconds: a canary's edges go by the wall.
+var started = time.Now()
+
+// readsPerLease is how many waiting reads one lease lasts.
+const readsPerLease = 4
+
 // join starts what a charter names, if one is named.
 func join(path string, log *zap.Logger) (*common, error) {
 	if path == "" {
 		return nil, nil
 	}
-	p, err := commons.Open(path, deciders, log)
+	p, err := commons.Open(path, deciders(), log)
 	if err != nil {
 		return nil, err
 	}
-	return &common{p}, nil
+	return &common{process: p}, nil
 }
 
-// deciders are those that run where a voter leads, by what the charter says. Each part adds one line.
-func deciders(c *charter.Charter) (all []cluster.Decider) {
-	//   PLACE failover: if c.Failover != nil { all = append(all, failover.New(*c.Failover)) }
-	//   PLACE counting: if c.Counting != nil { all = append(all, canary.New(*c.Counting)) }
-	//   PLACE debts:    if c.Debts != nil { all = append(all, debts.New(*c.Debts)) }
-	return all
+// deciders gives those that run where a voter leads, by what the charter says. Calls come one after another.
+func deciders() func(c *charter.Charter) []cluster.Decider {
+	var rules atomic.Pointer[counting.Terms]
+	var trial *canary.Decider // one for all files, while the lease stays: a file read again does not begin a trial anew
+	return func(c *charter.Charter) (all []cluster.Decider) {
+		lease := c.Timing.Lease.Duration
+		if c.FailsOver() {
+			all = append(all, failover.New(*c.Failover, lease))
+		}
+		if c.Counting != nil {
+			rules.Store(c.Counting)
+			if trial == nil || trial.Lease != lease {
+				trial = canary.New(rules.Load, lease, lease/readsPerLease, time.Duration(started.UnixNano()))
+			}
+			all = append(all, trial)
+		}
+		//   PLACE debts: if c.Debts != nil { all = append(all, debts.New(*c.Debts, ...)) }
+		return all
+	}
 }
 
-// parts has the gateway act on what is held in common. Each part adds one line.
-func (c *common) parts(ctx context.Context, g *gate.Gate, log *zap.Logger) {
+// parts has the gateway act on what is held in common. An error is a file that does not fit the gateway's.
+func (c *common) parts(ctx context.Context, in *inForce) error {
 	if c == nil {
-		return
+		return nil
 	}
-	// held, terms := c.process.Commons(), c.process.Charter()
-	//   PLACE failover: if terms.Failover != nil { go steer.New(...).Run(ctx, held, g) }
-	//   PLACE counting: if terms.Counting != nil { go ...Run(ctx, held, g) }
-	//   PLACE debts:    if terms.Debts != nil { go ...Run(ctx, held, g) }
+	held, file := c.process.Commons(), c.process.Charter()
+	if file.FailsOver() {
+		hall := file.Process.Hall
+		if !slices.Contains(in.told.Halls, hall) {
+			return fmt.Errorf("RELAY_COMMON: process.hall must be one of settings.Dcs of RELAY_CONFIG, %q, where failover is on, not %q",
+				in.told.Halls, hall)
+		}
+		go steer.New(held, in.gate, in.told.Halls, hall, in.log).Run(ctx)
+	}
+	if file.Counting != nil {
+		c.clerk = clerk.New(file.Counting, in.log)
+		go func() {
+			if err := c.clerk.Run(ctx, held, in.gate); err != nil {
+				in.log.Error("counting rules are not followed: tasks are counted as ever", zap.Error(err))
+			}
+		}()
+	}
+	//   PLACE debts: if file.Debts != nil { go till.New(...).Run(ctx, held, in.gate, ...) }
+	return nil
 }
 
-// reload takes the charter again. Parts whose terms changed are told here, one line each.
+// reload takes the charter again. Parts whose terms changed are told here.
 func (c *common) reload() {
-	if c != nil {
-		c.process.Reload()
+	if c == nil || !c.process.Reload() {
+		return
+	}
+	if c.clerk != nil {
+		c.clerk.Move(c.process.Charter().Counting)
 	}
+	//   PLACE debts: c.till.Reshape(...)
 }
 
 func (c *common) resign() {
--- a/internal/daemon/common_alone.go
+++ b/internal/daemon/common_alone.go
@@ -8,8 +8,6 @@
 	"os"
 
 	"go.uber.org/zap"
-
-	"harrierhoist/internal/gate"
 )
 
 // A build with the tag alone has nothing of what processes hold in common: linked but never used, that code still takes
@@ -29,7 +27,7 @@
 
 func vote(string, <-chan os.Signal) error { return errAlone }
 
-func (*common) parts(context.Context, *gate.Gate, *zap.Logger) {}
-func (*common) reload()                                        {}
-func (*common) resign()                                        {}
-func (*common) close()                                         {}
+func (*common) parts(context.Context, *inForce) error { return nil }
+func (*common) reload()                               {}
+func (*common) resign()                               {}
+func (*common) close()                                {}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,10 @@
 		return err
 	}
 	defer common.close()
-	common.parts(ctx, g, log)
+	if err := common.parts(ctx, in); err != nil {
+		_ = listener.Close()
+		return err
+	}
 	go g.Tick(ctx)
 	go list.Watch(ctx)
 	go servers.Sweep(ctx)
