--- a/internal/charter/check.go
+++ b/internal/charter/check.go
@@ -29,8 +29,8 @@
 		if !hostPort(value) {
 			fault(key, "must be host:port with a port from 1 to 65535, not %q", value)
 		} else if !p.PrivateNetwork && !Loopback(value) {
-			fault(key, "must be a loopback address (127.x.x.x, [::1] or localhost), not %q, unless process.private_network = true"+
-				" says that the network is private", value)
+			fault(key, "must be a loopback address (127.x.x.x, [::1] or localhost), not %q,"+
+				" unless process.private_network = true says that the network is private", value)
 		}
 	}
 	if p.Voter {
@@ -71,7 +71,8 @@
 	}
 	for i, v := range c.Voters {
 		if numbers[v.Replaces] && v.Replaces != 0 {
-			fault(fmt.Sprintf("voter.%d.replaces", i+1), "must be the number of a voter that is named no longer, not %d", v.Replaces)
+			fault(fmt.Sprintf("voter.%d.replaces", i+1),
+				"must be the number of a voter that is named no longer, not %d", v.Replaces)
 		}
 	}
 	switch n := len(c.Voters); {
--- a/internal/cluster/follow/follow.go
+++ b/internal/cluster/follow/follow.go
@@ -40,7 +40,7 @@
 
 // How a follower goes about it.
 const (
-	waits      = 4                      // a read waits for this part of a lease: two voters in a row may fail before it is over
+	waits      = 4                      // a read waits for this part of a lease: two may fail before it is over
 	pauseFirst = 50 * time.Millisecond  // after all voters failed in turn; then longer by half, each drawn
 	pauseMost  = time.Second            // once they are back, all followers are within about that
 	homeAfter  = time.Minute            // at another voter, before the one of its own is tried again
@@ -66,7 +66,8 @@
 }
 
 // New makes a follower of a process in one of its lives, that takes the sources in the order given.
-func New(process string, incarnation uint64, sources []Source, timing Timing, clock func() time.Duration, log *zap.Logger) *Follower {
+func New(process string, incarnation uint64, sources []Source, timing Timing, clock func() time.Duration,
+	log *zap.Logger) *Follower {
 	return &Follower{process: process, incarnation: incarnation, clock: clock, log: log, shelf: newShelf(),
 		sources: sources, timing: timing}
 }
--- a/internal/cluster/follow/group.go
+++ b/internal/cluster/follow/group.go
@@ -33,6 +33,7 @@
 	defer f.mu.Unlock()
 	if !f.alien {
 		f.alien = true
-		f.log.Error("the voters began anew with empty disks: this process takes nothing from them until it is started again")
+		f.log.Error("the voters began anew with empty disks: this process takes nothing from them " +
+			"until it is started again")
 	}
 }
--- a/internal/cluster/follow/held.go
+++ b/internal/cluster/follow/held.go
@@ -30,8 +30,8 @@
 }
 
 // take takes the answer to a read, and holds all until a time that counts from when it was sent. An epoch never goes
-// back, nor does a lease. An answer that knows less than is held confirms it all the same: what is held was written after
-// that answer was confirmed, so after the read was sent.
+// back, nor does a lease. An answer that knows less than is held confirms it all the same: what is held was written
+// after that answer was confirmed, so after the read was sent.
 func (s *shelf) take(answer map[string]tables.Entry, until time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/cluster/follow/tell.go
+++ b/internal/cluster/follow/tell.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// nextPace has digests come less often while the voters are slow to take them, and as before again soon after. It guards
+// nextPace has digests come less often while the voters are slow to take them, and as before soon after. It guards
 // against a fleet that is more than its voters can bear, where each digest that comes too late would be followed by
 // another; the harm is that what is seen in common comes up to paceMost times later.
 func nextPace(pace float64, slow bool) float64 {
--- a/internal/cluster/link/address.go
+++ b/internal/cluster/link/address.go
@@ -34,13 +34,16 @@
 		return err
 	}
 	if !p.Private && !at.Addr().Unmap().IsLoopback() {
-		return fmt.Errorf("%s is not a loopback address: links are plain, and go there only where process.private_network = true", address)
+		return fmt.Errorf("%s is not a loopback address: links are plain, and go there only where "+
+			"process.private_network = true", address)
 	}
 	return nil
 }
 
 // dialer dials what it may. A name is judged by what it stands for at each dial.
 func (p Plain) dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialWithin, Control: func(_, address string, _ syscall.RawConn) error { return p.refuse(address) }}
+	d := net.Dialer{Timeout: dialWithin, Control: func(_, address string, _ syscall.RawConn) error {
+		return p.refuse(address)
+	}}
 	return d.DialContext
 }
--- a/internal/cluster/link/link_test.go
+++ b/internal/cluster/link/link_test.go
@@ -121,12 +121,12 @@
 
 // Links are plain: they stay on this machine unless the operators say that the network is private.
 func TestLinksStayOnLoopback(t *testing.T) {
-	for address, private := range map[string]bool{"0.0.0.0:0": false, "[::]:0": false, "127.0.0.1:0": false, "localhost:0": false} {
-		l, err := Plain{private}.Listen(address)
+	for address, loopback := range map[string]bool{"0.0.0.0:0": false, "[::]:0": false, "127.0.0.1:0": true, "localhost:0": true} {
+		l, err := Plain{}.Listen(address)
 		if err == nil {
 			_ = l.Close()
 		}
-		if loop := strings.HasPrefix(address, "127") || strings.HasPrefix(address, "local"); (err == nil) != loop {
+		if (err == nil) != loopback {
 			t.Errorf("%s: %v", address, err)
 		}
 	}
--- a/internal/cluster/link/post.go
+++ b/internal/cluster/link/post.go
@@ -45,7 +45,8 @@
 	return &Postbox{client: NewClient(plain, lanes), ctx: ctx, end: end, queues: map[uint64]*queue{}}
 }
 
-// Send has a message sent to the voter of a number at an address, or dropped. The message is the postbox's from then on.
+// Send has a message sent to the voter of a number at an address, or dropped. The message is the postbox's from then
+// on.
 func (p *Postbox) Send(number uint64, address string, message []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/cluster/link/wire.go
+++ b/internal/cluster/link/wire.go
@@ -20,7 +20,7 @@
 
 // Limits of what is sent and of how long it may take.
 const (
-	bodyMost    = 4 << 20                // bytes of a digest, a read or a proposal: a thousand counts of 100 bytes are 0.1 MB
+	bodyMost    = 4 << 20                // bytes of a digest, a read or a proposal: a thousand counts are 0.1 MB
 	messageMost = 64 << 20               // bytes of voters' messages in one body: a snapshot of all tables and totals
 	headMost    = 4 << 10                // bytes of a call's header
 	waitMost    = 8 * time.Second        // of a read: a quarter of the longest lease
@@ -45,14 +45,15 @@
 
 // Standing is what a voter says of itself to whoever asks.
 type Standing struct {
-	Number      uint64           `cbor:"1,keyasint"` // as its file has it, or its disk once it has begun
-	Name        string           `cbor:"2,keyasint"` // of its process
-	Mark        string           `cbor:"3,keyasint"` // of its disk
-	Begun       bool             `cbor:"4,keyasint"` // whether its disk holds a log; until then it takes no other call
-	Incarnation uint64           `cbor:"5,keyasint"` // of its process
-	Status      cluster.Status   `cbor:"6,keyasint"` // once it has begun
-	Address     string           `cbor:"7,keyasint"` // of its link, by its own file: what the log has of it
-	First       []cluster.Member `cbor:"8,keyasint"` // with whom it began the log, if it did in this life, with the marks of their disks
+	Number      uint64         `cbor:"1,keyasint"` // as its file has it, or its disk once it has begun
+	Name        string         `cbor:"2,keyasint"` // of its process
+	Mark        string         `cbor:"3,keyasint"` // of its disk
+	Begun       bool           `cbor:"4,keyasint"` // whether its disk holds a log; until then it takes no other call
+	Incarnation uint64         `cbor:"5,keyasint"` // of its process
+	Status      cluster.Status `cbor:"6,keyasint"` // once it has begun
+	Address     string         `cbor:"7,keyasint"` // of its link, by its own file: what the log has of it
+	// First are those with whom it began the log, if it did in this life, with the marks of their disks.
+	First []cluster.Member `cbor:"8,keyasint"`
 }
 
 // Post is what one voter sends another.
@@ -69,7 +70,7 @@
 
 // Answer is what became of a call other than a message.
 type Answer struct {
-	Fault  string                  `cbor:"1,keyasint,omitempty"` // one of the words below, or what is wrong with the call
+	Fault  string                  `cbor:"1,keyasint,omitempty"` // one of the words below, or what is wrong
 	Tables map[string]tables.Entry `cbor:"2,keyasint,omitempty"`
 	Group  []byte                  `cbor:"4,keyasint,omitempty"` // of the tables: drawn when the voters first began
 	Result tables.Result           `cbor:"3,keyasint"`
--- a/internal/commons/commons.go
+++ b/internal/commons/commons.go
@@ -49,7 +49,8 @@
 	p := &Process{path: path, deciders: deciders, log: log.With(zap.String("process", c.Process.Name)),
 		client: link.NewClient(plain, each)}
 	p.charter.Store(c)
-	// Where a clock was set back between two lives, what the later one counts is not heard until it has passed the earlier.
+	// Where a clock was set back between two lives, what the later one counts is not heard until it has passed the
+	// earlier.
 	life := uint64(time.Now().UnixNano())
 	ctx, end := context.WithCancel(context.Background())
 	p.end = end
@@ -66,7 +67,8 @@
 		p.voter.serve(c)
 		p.done.Go(func() { p.voter.run(ctx) })
 	}
-	p.log.Info("takes part in what is held in common", zap.Bool("voter", c.Process.Voter), zap.Int("voters", len(c.Voters)))
+	p.log.Info("takes part in what is held in common", zap.Bool("voter", c.Process.Voter),
+		zap.Int("voters", len(c.Voters)))
 	return p, nil
 }
 
--- a/internal/commons/meet.go
+++ b/internal/commons/meet.go
@@ -63,9 +63,11 @@
 		case at >= 0 && s.Status.Members[at].Disk == self.Disk:
 			return verdict{begin: true}
 		case at >= 0 && s.Status.Members[at].Disk == "":
-			return verdict{why: "the voters began without having heard of this disk: it comes under a new number that replaces this one"}
+			return verdict{why: "the voters began without having heard of this disk: " +
+				"it comes under a new number that replaces this one"}
 		case at >= 0:
-			return verdict{why: "the voters know this number with another disk: a lost disk comes back under a new number that replaces it"}
+			return verdict{why: "the voters know this number with another disk: " +
+				"a lost disk comes back under a new number that replaces it"}
 		default:
 			return verdict{why: "the voters have not taken this number in yet: the leader's file must name it"}
 		}
@@ -73,7 +75,8 @@
 	if all {
 		return verdict{begin: true, first: first}
 	}
-	return verdict{why: "its disk is empty, and not all voters of the file have answered: a first start takes all of them"}
+	return verdict{why: "its disk is empty, and not all voters of the file have answered: " +
+		"a first start takes all of them"}
 }
 
 // run has the voter begin, and then does what the leader has to do outside the log.
@@ -102,7 +105,8 @@
 				return false
 			}
 			s.process.follower.Move(s.process.sources(c), timing(c)) // it had turned to others meanwhile
-			s.process.log.Info("this voter has begun", zap.Uint64("number", self.Number), zap.Int("first", len(v.first)))
+			s.process.log.Info("this voter has begun", zap.Uint64("number", self.Number),
+				zap.Int("first", len(v.first)))
 			return true
 		}
 		if time.Since(began) > sayAfter && said != v.why {
--- a/internal/commons/seat.go
+++ b/internal/commons/seat.go
@@ -39,7 +39,8 @@
 	self := *c.Self()
 	// Two processes on one file, the second of which listens elsewhere, would be one voter twice.
 	if other, err := p.client.Standing(ctx, self.Address); err == nil {
-		return nil, fmt.Errorf("%s: voter %d, process %q, answers at %s already", p.path, other.Number, other.Name, self.Address)
+		return nil, fmt.Errorf("%s: voter %d, process %q, answers at %s already",
+			p.path, other.Number, other.Name, self.Address)
 	}
 	at := c.Process.Listen
 	if at == "" {
@@ -84,8 +85,8 @@
 		return err
 	}
 	if n := v.Status().Number; n != s.self.Number {
-		return errors.Join(fmt.Errorf("holds the log of voter %d, and the file says %d: a new number takes an empty folder",
-			n, s.self.Number), v.Close())
+		return errors.Join(fmt.Errorf("holds the log of voter %d, and the file says %d:"+
+			" a new number takes an empty folder", n, s.self.Number), v.Close())
 	}
 	s.voter, s.first = v, first
 	return nil
@@ -120,8 +121,8 @@
 // Standing implements link.Host.
 func (s *seat) Standing() link.Standing {
 	s.mu.Lock()
-	v, is := s.voter, link.Standing{Number: s.self.Number, Name: s.self.Name, Address: s.self.Address, Mark: s.disk.Mark(),
-		Begun: s.voter != nil, Incarnation: s.life, First: s.first}
+	v, is := s.voter, link.Standing{Number: s.self.Number, Name: s.self.Name, Address: s.self.Address,
+		Mark: s.disk.Mark(), Begun: s.voter != nil, Incarnation: s.life, First: s.first}
 	s.mu.Unlock()
 	if v != nil {
 		is.Status = v.Status()
@@ -139,7 +140,8 @@
 	if self := c.Self(); self != nil && (s.voter == nil || self.Number == s.self.Number) {
 		s.self = *self
 	} else {
-		s.process.log.Warn("left as it was: this takes a restart, with an empty folder as its disk", zap.Strings("keys", []string{"voter.number"}))
+		s.process.log.Warn("left as it was: this takes a restart, with an empty folder as its disk",
+			zap.Strings("keys", []string{"voter.number"}))
 	}
 	if s.voter != nil {
 		s.voter.Redecide(s.process.deciders(c))
--- a/internal/commons/sources.go
+++ b/internal/commons/sources.go
@@ -75,7 +75,8 @@
 
 // Propose has a command written by whichever voter leads. It is made for what operators and tests write from outside;
 // a command that may have been written is not proposed again.
-func Propose(ctx context.Context, client *link.Client, voters []charter.Voter, c tables.Command) (tables.Result, error) {
+func Propose(ctx context.Context, client *link.Client, voters []charter.Voter, c tables.Command) (
+	tables.Result, error) {
 	err := cluster.ErrNotLeader
 	for _, v := range voters {
 		var r tables.Result
--- a/internal/commons/steward.go
+++ b/internal/commons/steward.go
@@ -44,8 +44,9 @@
 		if h := s.process.follower.Held(follow.GroupTable); h.Epoch == 0 && h.Until > s.process.follower.Now() {
 			mark := make([]byte, markBytes)
 			_, _ = rand.Read(mark) // never fails
-			_, _ = v.Propose(within, tables.Command{Kind: tables.Write, By: fmt.Sprintf("%s/%d/steward", s.self.Name, s.life),
-				Number: n, Table: follow.GroupTable, Value: mark}) // if it is not written, the next look sees it
+			by := fmt.Sprintf("%s/%d/steward", s.process.Charter().Process.Name, s.life)
+			_, _ = v.Propose(within, tables.Command{Kind: tables.Write, By: by, Number: n, Table: follow.GroupTable,
+				Value: mark}) // if it is not written, the next look sees it
 			n++
 		}
 		s.tend(within, is)
@@ -74,7 +75,8 @@
 		}
 		if remove != 0 {
 			err = v.Change(ctx, cluster.Member{Number: remove}, true)
-			log.Info("a voter is taken out", zap.Uint64("number", remove), zap.Uint64("replaced by", named.Number), zap.Error(err))
+			log.Info("a voter is taken out", zap.Uint64("number", remove), zap.Uint64("replaced by", named.Number),
+				zap.Error(err))
 			if err == nil {
 				s.post.Forget(remove)
 			}
--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -79,8 +79,8 @@
 	if file.FailsOver() {
 		hall := file.Process.Hall
 		if !slices.Contains(in.told.Halls, hall) {
-			return fmt.Errorf("RELAY_COMMON: process.hall must be one of settings.Dcs of RELAY_CONFIG, %q, where failover is on, not %q",
-				in.told.Halls, hall)
+			return fmt.Errorf("RELAY_COMMON: process.hall must be one of settings.Dcs of RELAY_CONFIG, %q, where "+
+				"failover is on, not %q", in.told.Halls, hall)
 		}
 		go steer.New(held, in.gate, in.told.Halls, hall, in.log).Run(ctx)
 	}
--- a/internal/daemon/common_alone.go
+++ b/internal/daemon/common_alone.go
@@ -14,7 +14,8 @@
 // some 5 MB of resident memory and a part of the start (docs/cluster.md, Measured).
 
 // errAlone is a charter named for such a build.
-var errAlone = errors.New("RELAY_COMMON: this program was built with the tag alone, and takes no part in what is held in common")
+var errAlone = errors.New("RELAY_COMMON: this program was built with the tag alone, " +
+	"and takes no part in what is held in common")
 
 type common struct{}
 
