--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -1,11 +1,13 @@
 // Package charter reads the operators' own file of what processes hold in common: who this process is, which
-// processes are voters, and the terms of each part that is decided in common. Where no file is named, none of it starts.
+// processes are voters, and the terms of each part that is decided in common. Where no file is named, none of it
+// starts.
 package charter
 
 import (
 	"slices"
 	"time"
 
+	"harrierhoist/internal/counting"
 	"harrierhoist/internal/failover"
 )
 
@@ -18,8 +20,8 @@
 	// The parts, each a table with its terms; one that is left out is off. A part adds one line here, and its
 	// terms have a method Check() []error whose errors name the key and what is allowed.
 	Failover *failover.Terms `toml:"failover"`
-	//   PLACE counting: Counting *counting.Terms `toml:"counting"`
-	//   PLACE debts:    Debts *debts.Terms `toml:"debts"`
+	Counting *counting.Terms `toml:"counting"`
+	//   PLACE debts: Debts *debts.Terms `toml:"debts"`
 }
 
 // Process is who this process is.
@@ -88,11 +90,16 @@
 	if c.Failover != nil {
 		terms["failover"] = c.Failover
 	}
-	//   PLACE counting: if c.Counting != nil { terms["counting"] = c.Counting }
-	//   PLACE debts:    if c.Debts != nil { terms["debts"] = c.Debts }
+	if c.Counting != nil {
+		terms["counting"] = c.Counting
+	}
+	//   PLACE debts: if c.Debts != nil { terms["debts"] = c.Debts }
 	return terms
 }
 
+// FailsOver tells whether failover is on.
+func (c *Charter) FailsOver() bool { return c.Failover != nil && c.Failover.On }
+
 // Self is the entry of this process among the voters, nil where it is none.
 func (c *Charter) Self() *Voter {
 	if !c.Process.Voter {
@@ -126,5 +133,13 @@
 		}
 	}
 	c.Process = was
+	// A part comes and goes with a restart; its terms change in place.
+	if c.FailsOver() != old.FailsOver() {
+		keys, c.Failover = append(keys, "failover"), old.Failover
+	}
+	if (c.Counting == nil) != (old.Counting == nil) {
+		keys, c.Counting = append(keys, "counting"), old.Counting
+	}
+	//   PLACE debts: the same
 	return keys
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,9 +29,12 @@
 	heapPart     = 2  // the part of the memory limit that the heap may grow to before it is swept harder
 )
 
-// Run serves as the file at a path says, until it is asked to end. Where a charter is named it takes part in what
-// processes hold in common; a voter needs no other file.
-func Run(path, charter string) error {
+// Run serves as the file at a path says, until it is asked to end.
+func Run(path string) error { return RunIn(path, "") }
+
+// RunIn is Run of a process that takes part in what processes hold in common, as the charter at a path says; none: it
+// takes no part. A voter needs no file but the charter.
+func RunIn(path, charter string) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else: it would end the program
 	if path == "" && charter != "" {
@@ -60,12 +63,6 @@
 			in.count.Load().Add(name, units, keep, heard) // settings with a counter come into force once there is one
 		}}
 	in.moveCounter(told)
-	common, err := join(charter, log)
-	if err != nil {
-		return err
-	}
-	defer common.close()
-	outside.Witness = common.witness(told)
 	g, err := gate.New(*site, told.Seed, outside, log)
 	if err != nil {
 		return err
@@ -80,7 +77,16 @@
 	if err != nil {
 		return err
 	}
-	common.parts(ctx, g, told.Halls, site.MyHall, log)
+	common, err := join(charter, log)
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	defer common.close()
+	if err := common.parts(ctx, in); err != nil {
+		_ = listener.Close()
+		return err
+	}
 	go g.Tick(ctx)
 	go list.Watch(ctx)
 	go servers.Sweep(ctx)
