--- a/internal/cluster/link/post_test.go
+++ b/internal/cluster/link/post_test.go
@@ -56,8 +56,8 @@
 	got := make(chan bool, 16)
 	go func() {
 		for {
-			conn, err := l.Accept()
-			if err != nil {
+			conn, bad := l.Accept()
+			if bad != nil {
 				return
 			}
 			_, _ = io.CopyN(io.Discard, conn, 1)
@@ -73,8 +73,9 @@
 	_ = l.Close()
 	p.Send(7, at, []byte("lost"))
 	v := newMemory()
-	eventually(t, "the address again", func() bool { l, err = net.Listen("tcp", at); return err == nil })
-	s := Serve(l, house{v}, 16, nil)
+	var again net.Listener
+	eventually(t, "the address again", func() bool { again, err = net.Listen("tcp", at); return err == nil })
+	s := Serve(again, house{v}, 16, nil)
 	defer s.Close()
 	eventually(t, "a message", func() bool {
 		p.Send(7, at, []byte("m"))
