--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -5,9 +5,6 @@
 	"math/rand/v2"
 	"sort"
 	"time"
-
-	"harrierhoist/internal/lab/ledger"
-	"harrierhoist/policy"
 )
 
 // clients send the tasks of customers, whether answers come or not, and try again through other gateways.
@@ -49,30 +46,6 @@
 	ended    bool
 }
 
-type try struct {
-	id       uint64
-	request  *request
-	gateway  *gateway
-	lane     int
-	number   int
-	local    uint32
-	cost     float64
-	expires  time.Duration
-	attempts []*attempt
-	over     bool
-	away     time.Duration
-}
-
-// verdict is what a client gets.
-type verdict int
-
-const (
-	served verdict = iota
-	rejected
-	terminated
-	died // the connection broke: its gateway died
-)
-
 func newClients(e *engine, setup *rand.Rand) *clients {
 	c := &clients{e: e, draw: setup}
 	id := uint64(1)
@@ -180,128 +153,3 @@
 func (c *clients) gain(r *request) float64 {
 	return c.e.w.Lanes[r.lane].Gain * c.e.w.Plans[r.customer.plan].Price * r.units
 }
-
-// send sends a try through a gateway of the customer's set, if it can be another than the last.
-func (c *clients) send(r *request, number int, last *gateway) {
-	e := c.e
-	lane := &e.site.Lanes[r.lane]
-	expires := r.began + lane.Patience
-	if e.now >= expires {
-		c.lost(r)
-		return
-	}
-	who := r.customer
-	g := e.gateways[(who.first+c.draw.IntN(who.width))%len(e.gateways)]
-	for range 4 { // dead ones are noticed by and by, and the one tried last is left out where others are
-		if g != last && (g.alive || c.draw.Float64() < 0.3) || who.width == 1 {
-			break
-		}
-		g = e.gateways[(who.first+c.draw.IntN(who.width))%len(e.gateways)]
-	}
-	c.nextTry++
-	t := &try{id: c.nextTry, request: r, gateway: g, lane: r.lane, number: number, expires: expires, cost: r.units}
-	e.result.Tries++
-	e.after(500*time.Microsecond, func() {
-		if !g.alive {
-			c.answered(t, died) // refused: it was not taken
-			return
-		}
-		e.ledger.Taken(ledger.Task{ID: t.id, Key: r.key, Customer: who.id, Lane: *lane, Plan: who.plan, Gateway: g.n, Units: r.told,
-			Taken: e.now, Expires: expires})
-		life := g.life
-		g.do(life, func() {
-			if e.now >= expires {
-				// Its client has gone: it was read too late to answer.
-				e.ledger.Final(expires, t.id, true)
-				return
-			}
-			g.take(t)
-		})
-		e.at(expires, func() { c.gone(t, life) })
-	})
-}
-
-// gone tells a gateway that a client waits no more.
-func (c *clients) gone(t *try, life int) {
-	if t.over {
-		return
-	}
-	t.gateway.do(life, func() {
-		if t.over {
-			return
-		}
-		t.over = true
-		delete(t.gateway.tries, t.local)
-		t.gateway.d.Lapsed(c.e.now, t.local)
-		for _, a := range t.attempts {
-			c.e.after(0, func() { c.e.outcome(a, policy.Cancelled, 0) })
-		}
-	})
-	c.lost(t.request)
-}
-
-// answered takes the answer to a try.
-func (c *clients) answered(t *try, what verdict) {
-	e, r := c.e, t.request
-	if what != died {
-		e.ledger.Final(e.now, t.id, true)
-	}
-	res := &e.result
-	switch what {
-	case served:
-		if e.w.Load.Told > 0 {
-			e.ledger.Settled(t.id, r.units)
-		}
-		if r.ended {
-			return
-		}
-		r.ended = true
-		took := e.now - r.began
-		res.took(r.lane, took)
-		lane := &e.site.Lanes[r.lane]
-		gain := 0.0
-		if took <= lane.SoftLimit {
-			res.InTime++
-			gain = c.gain(r)
-		} else {
-			res.Late++
-			gain = c.gain(r) * lane.LateShare
-		}
-		if e.ledger.Inside(t.id) {
-			res.GainServed += gain
-		}
-		return
-	case rejected:
-		res.Rejected++
-	case terminated:
-		res.Terminated++
-	case died:
-		res.Broken0++
-	}
-	lane := &e.site.Lanes[r.lane]
-	unsent := what == rejected || what == died && len(t.attempts) == 0
-	may := unsent || lane.Effect == policy.Pure || lane.Effect == policy.Receipted && lane.Group == policy.GroupAll &&
-		e.now < r.began+lane.Window
-	if !may || t.number >= e.w.Clients.Retries {
-		if what == rejected {
-			res.Refused++
-		} else {
-			res.Failed++
-		}
-		r.ended = true
-		return
-	}
-	wait := e.w.Clients.Backoff.D()
-	if what == rejected && t.away > 0 && c.draw.Float64() < e.w.Clients.Honour {
-		wait = max(t.away, 0)
-	}
-	e.after(wait, func() { c.send(r, t.number+1, t.gateway) })
-}
-
-// lost ends a request that ran out of time.
-func (c *clients) lost(r *request) {
-	if !r.ended {
-		r.ended = true
-		c.e.result.Failed++
-	}
-}
--- /dev/null
+++ b/internal/lab/virtual/push.go
@@ -0,0 +1,149 @@
+package virtual
+
+import (
+	"time"
+
+	"harrierhoist/policy"
+)
+
+// attempt is a push on its way.
+type attempt struct {
+	g      *gateway
+	life   int
+	try    *try
+	local  uint32 // the gateway's number for the task
+	number int
+	server *server
+	at     time.Duration
+	until  time.Duration
+	work   time.Duration
+	fresh  bool // it made its connection
+	over   bool // its outcome was told
+}
+
+// Push sends a task to a server.
+func (g *gateway) Push(task, to uint32, until time.Duration) {
+	e := g.e
+	t := g.tries[task]
+	s := e.servers[to-1]
+	a := &attempt{g: g, life: g.life, try: t, local: task, number: len(t.attempts), server: s, at: e.now, until: until, work: t.request.work}
+	t.attempts = append(t.attempts, a)
+	g.pool.Pushed(e.now)
+	e.result.Pushes++
+	e.ledger.Pushed(e.now, g.n, to, t.id)
+	c := g.conns[to]
+	if c == nil {
+		c = &conns{}
+		g.conns[to] = c
+	}
+	hop := e.hop(g.hall, s.hall)
+	reach := !e.parted(g.hall, s.hall) && !s.silent
+	kept := false
+	for len(c.rest) > 0 && !kept {
+		last := c.rest[len(c.rest)-1]
+		c.rest = c.rest[:len(c.rest)-1]
+		kept = e.now-last < e.w.Servers.Idle.D()/2
+		if !kept {
+			s.conns = max(s.conns-1, 0)
+		}
+	}
+	e.at(until, func() { e.outcome(a, policy.TimedOut, 0) })
+	switch {
+	case kept && s.dead:
+		e.after(2*hop, func() { e.outcome(a, policy.NoConnect, 0) }) // seen closed before it was used
+		return
+	case !kept && s.dead && reach:
+		e.after(2*hop, func() { e.outcome(a, policy.NoConnect, 0) })
+		return
+	case !kept && !reach:
+		e.after(e.w.Network.Connect.D(), func() { e.outcome(a, policy.NoConnect, 0) })
+		return
+	case !kept && s.conns >= e.w.Servers.Connections:
+		e.result.Handshakes++
+		e.after(2*hop, func() { e.outcome(a, policy.Full, 0) })
+		return
+	case !reach:
+		return
+	}
+	if !kept {
+		a.fresh = true
+		s.conns++
+		e.result.Handshakes++
+		hop *= 3 // there, back and there with the task
+	}
+	e.after(hop, func() {
+		if e.parted(g.hall, s.hall) {
+			return
+		}
+		if e.resets > 0 && e.chance.Float64() < e.resets {
+			e.after(hop, func() { e.outcome(a, policy.Reset, 0) })
+			if e.chance.Float64() < 0.5 {
+				return // it never ran
+			}
+		}
+		s.arrive(a)
+	})
+}
+
+// reply brings a server's answer back.
+func (e *engine) reply(a *attempt, how policy.Outcome, cost float64) {
+	if e.answersLost > 0 && e.chance.Float64() < e.answersLost {
+		return
+	}
+	if a.server.silent || e.parted(a.g.hall, a.server.hall) {
+		return
+	}
+	e.after(e.hop(a.g.hall, a.server.hall), func() { e.outcome(a, how, cost) })
+}
+
+// outcome tells a gateway how a push ended, once.
+func (e *engine) outcome(a *attempt, how policy.Outcome, cost float64) {
+	g := a.g
+	g.do(a.life, func() {
+		if a.over {
+			return
+		}
+		a.over = true
+		switch how {
+		case policy.Answered, policy.Errored, policy.Full:
+			if c := g.conns[a.server.id]; !a.server.dead {
+				c.rest = append(c.rest, e.now)
+			}
+		default:
+			a.server.conns = max(a.server.conns-1, 0)
+			if how == policy.TimedOut || how == policy.Cancelled {
+				e.giveUp(a)
+			}
+		}
+		t := a.try
+		if how == policy.Answered && !t.over {
+			g.final(t, served)
+		}
+		g.d.Ended(e.now, policy.Push{Task: a.local, Number: a.number, Server: a.server.id, Outcome: how, Took: e.now - a.at,
+			Done: t.over, Billed: cost})
+	})
+}
+
+// giveUp tells a server that nobody waits.
+func (e *engine) giveUp(a *attempt) {
+	if !e.parted(a.g.hall, a.server.hall) {
+		e.after(e.hop(a.g.hall, a.server.hall), func() { a.server.stop(a) })
+	}
+}
+
+// final gives a try its one answer.
+func (g *gateway) final(t *try, what verdict) {
+	t.over = true
+	delete(g.tries, t.local)
+	g.e.clients.answered(t, what)
+}
+
+// Cancel gives a push up; the gateway hears how it ended behind what it does now.
+func (g *gateway) Cancel(task uint32, number int) {
+	t := g.tries[task]
+	if t == nil || number >= len(t.attempts) {
+		return
+	}
+	a := t.attempts[number]
+	g.e.after(0, func() { g.e.outcome(a, policy.Cancelled, 0) })
+}
