Laboratory: failed requests by what ended them, pushes between halls, hottest hall

The column 'failed' threw together four ends: time out between rejected tries, terminated, died with the gateway, time out while out. Pushes between halls and regions and the work sent to a whole hall over its strength get columns, regions and the time between them keys, and three troubles are added: link_cut, blind, and hall_lost of a part of a hall.

A request that had ended while its gateway stood still was counted a second time when that woke: no more.

--- a/internal/lab/experiment/compare.go
+++ b/internal/lab/experiment/compare.go
@@ -29,6 +29,8 @@
 	{"net", func(l *Line) float64 { return l.Net }},
 	{"beyond", func(l *Line) float64 { return l.Beyond }},
 	{"handshakes", func(l *Line) float64 { return l.Shakes }},
+	{"crossed", func(l *Line) float64 { return l.Crossed }},
+	{"hottest", func(l *Line) float64 { return l.Hottest }},
 	{"calls", func(l *Line) float64 { return l.Calls }},
 	{"broken", func(l *Line) float64 { return float64(l.Broken) }},
 }
--- a/internal/lab/experiment/line.go
+++ b/internal/lab/experiment/line.go
@@ -27,11 +27,18 @@
 	Beyond   float64          `json:"beyond"`  // part of the units sent on that were beyond quotas
 	Refused  float64          `json:"refused"` // part of the requests
 	Failed   float64          `json:"failed"`
-	Tries    float64          `json:"tries"`      // a request
-	Calls    float64          `json:"calls"`      // to the counter, a request
-	Shakes   float64          `json:"handshakes"` // a push
-	Uneven   float64          `json:"uneven"`     // load of servers: deviation over mean
-	P50      []float64        `json:"p50_ms"`     // by lane
+	Between  float64          `json:"failed_between"`    // of the requests, as all that failed are: their time ran out between rejected tries
+	Ended    float64          `json:"failed_terminated"` // the last try was terminated
+	Died     float64          `json:"failed_died"`       // the last try ended with its gateway
+	Out      float64          `json:"failed_out"`        // their time ran out while a try was out
+	Crossed  float64          `json:"crossed"`           // part of the pushes that went to another hall
+	Far      float64          `json:"far"`               // to another region
+	Hottest  float64          `json:"hottest"`           // work sent to a whole hall in a second over its strength, at its highest
+	Tries    float64          `json:"tries"`             // a request
+	Calls    float64          `json:"calls"`             // to the counter, a request
+	Shakes   float64          `json:"handshakes"`        // a push
+	Uneven   float64          `json:"uneven"`            // load of servers: deviation over mean
+	P50      []float64        `json:"p50_ms"`            // by lane
 	P99      []float64        `json:"p99_ms"`
 	P999     []float64        `json:"p999_ms"`
 	Lanes    []string         `json:"lanes"`
@@ -69,9 +76,12 @@
 	}
 	r.Percentiles()
 	part := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
-	l := &Line{World: w.Name, Gateways: w.Gateways.Count, Servers: w.Servers.Count, Variant: policy, Seed: seed, Build: Build(),
+	l := &Line{World: w.Name, Gateways: w.Gateways.Count, Servers: w.Servers.Count, Variant: policy, Seed: seed,
+		Build:   Build(),
 		Service: r.Service(), Net: r.Net(), Beyond: r.Beyond / max(r.Units, 1e-9), Refused: part(r.Refused, r.Offered),
-		Failed: part(r.Failed, r.Offered), Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
+		Failed: part(r.Failed, r.Offered), Between: part(r.Ends.Between, r.Offered), Ended: part(r.Ends.Terminated, r.Offered),
+		Died: part(r.Ends.Died, r.Offered), Out: part(r.Ends.Out, r.Offered), Crossed: part(r.Crossed, r.Pushes),
+		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
 		Shakes: part(r.Handshakes, r.Pushes), Uneven: r.Uneven, P50: r.P50, P99: r.P99, P999: r.P999, Lanes: r.Lanes,
 		Seconds: r.Seconds, Troubles: w.Troubles, Wall: time.Since(began).Seconds()}
 	for _, n := range r.Broken {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -5,29 +5,53 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 
 	"harrierhoist/internal/lab/experiment"
 )
 
+// columns are the figures of a table, means over seeds. Those that failed stand by what ended them.
+var columns = []struct {
+	name, form string
+	of         func(*experiment.Line) float64
+}{
+	{"service", "%.3f", func(l *experiment.Line) float64 { return l.Service }},
+	{"net", "%.3f", func(l *experiment.Line) float64 { return l.Net }},
+	{"beyond", "%.3f", func(l *experiment.Line) float64 { return l.Beyond }},
+	{"refused", "%.3f", func(l *experiment.Line) float64 { return l.Refused }},
+	{"out of time between tries", "%.3f", func(l *experiment.Line) float64 { return l.Between }},
+	{"terminated", "%.3f", func(l *experiment.Line) float64 { return l.Ended }},
+	{"gateway died", "%.3f", func(l *experiment.Line) float64 { return l.Died }},
+	{"out of time while out", "%.3f", func(l *experiment.Line) float64 { return l.Out }},
+	{"tries", "%.2f", func(l *experiment.Line) float64 { return l.Tries }},
+	{"calls", "%.2f", func(l *experiment.Line) float64 { return l.Calls }},
+	{"handshakes", "%.2f", func(l *experiment.Line) float64 { return l.Shakes }},
+	{"between halls", "%.3f", func(l *experiment.Line) float64 { return l.Crossed }},
+	{"between regions", "%.3f", func(l *experiment.Line) float64 { return l.Far }},
+	{"hottest hall", "%.2f", func(l *experiment.Line) float64 { return l.Hottest }},
+	{"uneven", "%.2f", func(l *experiment.Line) float64 { return l.Uneven }},
+	{"p50 ms", "%.0f", func(l *experiment.Line) float64 { return slices.Max(l.P50) }},
+	{"p99 ms", "%.0f", func(l *experiment.Line) float64 { return slices.Max(l.P99) }},
+}
+
 // Table writes results as a table: a row a world, size and variant, means over seeds.
 func Table(out io.Writer, lines []*experiment.Line) {
-	fmt.Fprintln(out, "| world | gateways | variant | seeds | service | net | beyond | refused | failed | tries | calls | handshakes | uneven | p50 ms | p99 ms | rules broken |")
-	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprint(out, "| world | gateways | variant | seeds |")
+	for _, c := range columns {
+		fmt.Fprintf(out, " %s |", c.name)
+	}
+	fmt.Fprintf(out, " rules broken |\n%s\n", strings.Repeat("| --- ", len(columns)+5)+"|")
 	for _, g := range groups(lines) {
-		mean := func(of func(*experiment.Line) float64) float64 { return meanOf(g, of) }
 		l := g[0]
+		fmt.Fprintf(out, "| %s | %d | %s | %d |", l.World, l.Gateways, l.Variant, len(g))
+		for _, c := range columns {
+			fmt.Fprintf(out, " "+c.form+" |", meanOf(g, c.of))
+		}
 		broken := 0
 		for _, m := range g {
 			broken += m.Broken
 		}
-		fmt.Fprintf(out, "| %s | %d | %s | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f | %.2f | %.2f | %.2f | %.0f | %.0f | %d |\n", l.World, l.Gateways,
-			l.Variant, len(g), mean(func(l *experiment.Line) float64 { return l.Service }),
-			mean(func(l *experiment.Line) float64 { return l.Net }), mean(func(l *experiment.Line) float64 { return l.Beyond }),
-			mean(func(l *experiment.Line) float64 { return l.Refused }), mean(func(l *experiment.Line) float64 { return l.Failed }),
-			mean(func(l *experiment.Line) float64 { return l.Tries }), mean(func(l *experiment.Line) float64 { return l.Calls }),
-			mean(func(l *experiment.Line) float64 { return l.Shakes }), mean(func(l *experiment.Line) float64 { return l.Uneven }),
-			mean(func(l *experiment.Line) float64 { return slices.Max(l.P50) }),
-			mean(func(l *experiment.Line) float64 { return slices.Max(l.P99) }), broken)
+		fmt.Fprintf(out, " %d |\n", broken)
 	}
 }
 
@@ -45,8 +69,8 @@
 		case p.Diff < 0:
 			says = "less"
 		}
-		fmt.Fprintf(out, "| %s | %d | %s | %d | %.4f | %.4f | %+.4f | %+.4f to %+.4f | %s |\n", p.World, p.Gateways, p.Figure, p.N, p.A, p.B,
-			p.Diff, p.Low, p.High, says)
+		fmt.Fprintf(out, "| %s | %d | %s | %d | %.4f | %.4f | %+.4f | %+.4f to %+.4f | %s |\n", p.World,
+			p.Gateways, p.Figure, p.N, p.A, p.B, p.Diff, p.Low, p.High, says)
 	}
 }
 
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -44,6 +44,7 @@
 	began    time.Duration
 	due      bool // a perfect count would let it in
 	ended    bool
+	last     verdict // of the latest try that ended
 }
 
 func newClients(e *engine, setup *rand.Rand) *clients {
--- a/internal/lab/virtual/engine.go
+++ b/internal/lab/virtual/engine.go
@@ -39,16 +39,21 @@
 	lagTimes    float64
 	answersLost float64
 	resets      float64
-	cut         map[int]bool // halls cut off from the others
+	cut         map[int]bool    // halls cut off from the others
+	links       map[[2]int]bool // pairs of halls, the lower first, between which nothing passes
+	regions     []int           // of each hall
+	sent        []time.Duration // work sent to each hall in this second
 	result      Result
 }
 
 // Play plays a world with a policy under a seed.
 func Play(w *world.World, seed uint64, made baseline.Make) (*Result, error) {
-	e := &engine{w: w, now: origin, make: made, site: w.Deployment(0), loadTimes: 1, lagTimes: 1, cut: map[int]bool{}}
+	e := &engine{w: w, now: origin, make: made, site: w.Deployment(0), loadTimes: 1, lagTimes: 1, cut: map[int]bool{},
+		links: map[[2]int]bool{}, regions: w.RegionOf(), sent: make([]time.Duration, w.Gateways.Halls)}
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
 	e.chance, e.arrivals, e.fate = stream(1), stream(2), stream(3)
-	e.ledger = ledger.New(ledger.Limits{AnswerSlack: w.Rules.AnswerSlack.D(), DrainGrace: w.Rules.DrainGrace.D(), Plans: e.site.Plans})
+	e.ledger = ledger.New(ledger.Limits{AnswerSlack: w.Rules.AnswerSlack.D(), DrainGrace: w.Rules.DrainGrace.D(),
+		Plans: e.site.Plans})
 	e.planTimes = make([]float64, len(w.Plans))
 	for i := range e.planTimes {
 		e.planTimes[i] = 1
@@ -93,14 +98,19 @@
 // hop is the time that a message takes between two halls.
 func (e *engine) hop(a, b int) time.Duration {
 	d := e.w.Network.Same.D()
-	if a != b {
+	switch {
+	case e.regions[a] != e.regions[b] && e.w.Network.Far > 0:
+		d = e.w.Network.Far.D()
+	case a != b:
 		d = e.w.Network.Cross.D()
 	}
 	return time.Duration(float64(d) * (1 + e.w.Network.Jitter*(2*e.chance.Float64()-1)))
 }
 
 // parted tells whether nothing passes between two halls.
-func (e *engine) parted(a, b int) bool { return a != b && (e.cut[a] || e.cut[b]) }
+func (e *engine) parted(a, b int) bool {
+	return a != b && (e.cut[a] || e.cut[b] || e.links[[2]int{min(a, b), max(a, b)}])
+}
 
 // some draws a part of n things, at least one where the part is more than nought.
 func (e *engine) some(n int, part float64) []int {
@@ -134,51 +144,3 @@
 		e.at(g.heard, func() { g.told(listed) })
 	}
 }
-
-// second closes a second of the play's record.
-func (e *engine) second() {
-	r := &e.result
-	now := Second{Offered: r.Offered, InTime: r.InTime, Refused: r.Refused, Failed: r.Failed, Gain: r.GainServed, Due: r.GainDue}
-	if n := len(r.totals); n > 0 {
-		last := r.totals[n-1]
-		r.Seconds = append(r.Seconds, Second{now.Offered - last.Offered, now.InTime - last.InTime, now.Refused - last.Refused,
-			now.Failed - last.Failed, now.Gain - last.Gain, now.Due - last.Due})
-	} else {
-		r.Seconds = append(r.Seconds, now)
-	}
-	r.totals = append(r.totals, now)
-}
-
-func (e *engine) finish() *Result {
-	r := &e.result
-	r.Units, r.Beyond, r.BeyondGain = e.ledger.Sent, e.ledger.Beyond, e.ledger.BeyondGain
-	r.Breaches = e.ledger.Breaches
-	for i, n := range e.ledger.Counts {
-		r.Broken[i] = n
-	}
-	r.Calls, r.CallsRefused = e.counter.calls, e.counter.refused
-	var loads []float64
-	for _, s := range e.servers {
-		if s.starts == 0 && s.stage == policy.Ready {
-			loads = append(loads, s.worked.Seconds())
-		}
-	}
-	r.Uneven = uneven(loads)
-	return r
-}
-
-// uneven is the deviation of loads over their mean.
-func uneven(loads []float64) float64 {
-	sum, square := 0.0, 0.0
-	for _, l := range loads {
-		sum += l
-	}
-	mean := sum / float64(max(len(loads), 1))
-	for _, l := range loads {
-		square += (l - mean) * (l - mean)
-	}
-	if mean == 0 {
-		return 0
-	}
-	return math.Sqrt(square/float64(len(loads))) / mean
-}
--- a/internal/lab/virtual/gateway.go
+++ b/internal/lab/virtual/gateway.go
@@ -20,6 +20,7 @@
 	alive bool
 	still time.Duration // it does nothing until then
 	deaf  bool          // discovery tells it nothing
+	blind bool          // nothing passes between it and servers
 	held  []policy.Listed
 	heard time.Duration // when the latest of what discovery tells it comes
 	list  map[uint32]policy.Listed
--- a/internal/lab/virtual/push.go
+++ b/internal/lab/virtual/push.go
@@ -26,10 +26,12 @@
 	e := g.e
 	t := g.tries[task]
 	s := e.servers[to-1]
-	a := &attempt{g: g, life: g.life, try: t, local: task, number: len(t.attempts), server: s, at: e.now, until: until, work: t.request.work}
+	a := &attempt{g: g, life: g.life, try: t, local: task, number: len(t.attempts), server: s, at: e.now, until: until,
+		work: t.request.work}
 	t.attempts = append(t.attempts, a)
 	g.pool.Pushed(e.now)
 	e.result.Pushes++
+	e.pushed(a)
 	e.ledger.Pushed(e.now, g.n, to, t.id)
 	c := g.conns[to]
 	if c == nil {
@@ -37,7 +39,7 @@
 		g.conns[to] = c
 	}
 	hop := e.hop(g.hall, s.hall)
-	reach := !e.parted(g.hall, s.hall) && !s.silent
+	reach := !g.cutFrom(s) && !s.silent
 	kept := false
 	for len(c.rest) > 0 && !kept {
 		last := c.rest[len(c.rest)-1]
@@ -72,7 +74,7 @@
 		hop *= 3 // there, back and there with the task
 	}
 	e.after(hop, func() {
-		if e.parted(g.hall, s.hall) {
+		if g.cutFrom(s) {
 			return
 		}
 		if e.resets > 0 && e.chance.Float64() < e.resets {
@@ -85,12 +87,15 @@
 	})
 }
 
+// cutFrom tells whether nothing passes between a gateway and a server.
+func (g *gateway) cutFrom(s *server) bool { return g.blind || g.e.parted(g.hall, s.hall) }
+
 // reply brings a server's answer back.
 func (e *engine) reply(a *attempt, how policy.Outcome, cost float64) {
 	if e.answersLost > 0 && e.chance.Float64() < e.answersLost {
 		return
 	}
-	if a.server.silent || e.parted(a.g.hall, a.server.hall) {
+	if a.server.silent || a.g.cutFrom(a.server) {
 		return
 	}
 	e.after(e.hop(a.g.hall, a.server.hall), func() { e.outcome(a, how, cost) })
@@ -126,7 +131,7 @@
 
 // giveUp tells a server that nobody waits.
 func (e *engine) giveUp(a *attempt) {
-	if !e.parted(a.g.hall, a.server.hall) {
+	if !a.g.cutFrom(a.server) {
 		e.after(e.hop(a.g.hall, a.server.hall), func() { a.server.stop(a) })
 	}
 }
--- a/internal/lab/virtual/result.go
+++ b/internal/lab/virtual/result.go
@@ -16,21 +16,28 @@
 
 	// Requests, however many tries each took. Due are those that a perfect count would let in.
 	Offered, Due, InTime, Late, Refused, Failed int
+	// Ends says why each that failed did.
+	Ends Ends
 	// Gain that was due, and gain that was served in time inside quotas.
 	GainDue, GainServed float64
 
 	Tries, Rejected, Terminated int
 	Broken0                     int `json:"BrokenConnections"` // tries whose gateway was dead or died
 	Pushes, Handshakes          int
-	Calls, CallsRefused         int
-	Units, Beyond, BeyondGain   float64
-	Uneven                      float64 // load of servers that stood all day: deviation over mean
-	Broken                      [ledger.Rules]int
-	Breaches                    []ledger.Breach
-	Seconds                     []Second
-	Events                      int
-	Lanes                       []string
-	P50, P99, P999              []float64 // ms, by lane, of all that were served
+	// Crossed are the pushes to another hall than the gateway's own; Far are those of them to another region.
+	Crossed, Far int
+	// Hottest is the work sent to a hall in a second over what its servers can do in one, at its highest over all
+	// seconds and all halls that stood whole (wholeLeast).
+	Hottest                   float64
+	Calls, CallsRefused       int
+	Units, Beyond, BeyondGain float64
+	Uneven                    float64 // load of servers that stood all day: deviation over mean
+	Broken                    [ledger.Rules]int
+	Breaches                  []ledger.Breach
+	Seconds                   []Second
+	Events                    int
+	Lanes                     []string
+	P50, P99, P999            []float64 // ms, by lane, of all that were served
 
 	totals []Second
 	times  []*hdrhistogram.Histogram
@@ -40,6 +47,21 @@
 type Second struct {
 	Offered, InTime, Refused, Failed int
 	Gain, Due                        float64
+	Pushes, Crossed                  int
+}
+
+// less is what came since an earlier total.
+func (s Second) less(was Second) Second {
+	return Second{s.Offered - was.Offered, s.InTime - was.InTime, s.Refused - was.Refused, s.Failed - was.Failed,
+		s.Gain - was.Gain, s.Due - was.Due, s.Pushes - was.Pushes, s.Crossed - was.Crossed}
+}
+
+// Ends are the requests that failed, by what ended them.
+type Ends struct {
+	Between    int // their time ran out between tries, the last of which was rejected
+	Terminated int // the last try was terminated
+	Died       int // the last try ended with its gateway
+	Out        int // their time ran out while a try was out
 }
 
 func newResult(w *world.World, seed uint64) Result {
--- a/internal/lab/virtual/tries.go
+++ b/internal/lab/virtual/tries.go
@@ -28,7 +28,8 @@
 	served verdict = iota
 	rejected
 	terminated
-	died // the connection broke: its gateway died
+	died       // the connection broke: its gateway died
+	unanswered // none came in time
 )
 
 // send sends a try through a gateway of the customer's set, if it can be another than the last.
@@ -37,7 +38,7 @@
 	lane := &e.site.Lanes[r.lane]
 	expires := r.began + lane.Patience
 	if e.now >= expires {
-		c.lost(r)
+		c.lost(r, r.last)
 		return
 	}
 	who := r.customer
@@ -87,7 +88,7 @@
 			c.e.after(0, func() { c.e.outcome(a, policy.Cancelled, 0) })
 		}
 	})
-	c.lost(t.request)
+	c.lost(t.request, unanswered)
 }
 
 // answered takes the answer to a try.
@@ -128,7 +129,11 @@
 	case died:
 		res.Broken0++
 	}
+	if r.ended { // its gateway stood still: the client went long ago
+		return
+	}
 	lane := &e.site.Lanes[r.lane]
+	r.last = what
 	unsent := what == rejected || what == died && len(t.attempts) == 0
 	may := unsent || lane.Effect == policy.Pure || lane.Effect == policy.Receipted && lane.Group == policy.GroupAll &&
 		e.now < r.began+lane.Window
@@ -136,7 +141,7 @@
 		if what == rejected {
 			res.Refused++
 		} else {
-			res.Failed++
+			c.lost(r, what)
 		}
 		r.ended = true
 		return
@@ -148,10 +153,22 @@
 	e.after(wait, func() { c.send(r, t.number+1, t.gateway) })
 }
 
-// lost ends a request that ran out of time.
-func (c *clients) lost(r *request) {
-	if !r.ended {
-		r.ended = true
-		c.e.result.Failed++
+// lost ends a request that failed, by what its last try got.
+func (c *clients) lost(r *request, last verdict) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	res := &c.e.result
+	res.Failed++
+	switch last {
+	case rejected:
+		res.Ends.Between++
+	case terminated:
+		res.Ends.Terminated++
+	case died:
+		res.Ends.Died++
+	default:
+		res.Ends.Out++
 	}
 }
--- a/internal/lab/virtual/trouble.go
+++ b/internal/lab/virtual/trouble.go
@@ -21,7 +21,9 @@
 	"lane_silent":   func(t world.Trouble) trouble { return &laneSilent{t: t} },
 	"deploy":        func(t world.Trouble) trouble { return &deploy{part: t.Part, over: t.For.D()} },
 	"mass_change":   func(t world.Trouble) trouble { return &massChange{part: t.Part} },
-	"hall_lost":     func(t world.Trouble) trouble { return &serversLost{hall: t.Hall, whole: true} },
+	"hall_lost":     func(t world.Trouble) trouble { return &serversLost{hall: t.Hall, whole: true, part: t.Part} },
+	"link_cut":      func(t world.Trouble) trouble { return &linkCut{[2]int{min(t.Hall, t.To), max(t.Hall, t.To)}} },
+	"blind":         func(t world.Trouble) trouble { return &blind{part: t.Part} },
 	"hall_cut":      func(t world.Trouble) trouble { return &hallCut{t.Hall} },
 	"answers_lost": func(t world.Trouble) trouble {
 		return &figure{on: func(e *engine) *float64 { return &e.answersLost }, to: t.Part}
@@ -70,6 +72,12 @@
 
 func (t *hallCut) end(e *engine) { delete(e.cut, t.hall) }
 
+// linkCut cuts the link between two halls.
+type linkCut struct{ ends [2]int }
+
+func (t *linkCut) begin(e *engine) { e.links[t.ends] = true }
+func (t *linkCut) end(e *engine)   { delete(e.links, t.ends) }
+
 // figure sets a figure of the world and sets it back.
 type figure struct {
 	on       func(*engine) *float64
--- a/internal/lab/virtual/trouble_gateways.go
+++ b/internal/lab/virtual/trouble_gateways.go
@@ -54,6 +54,25 @@
 
 func (t *rolling) end(*engine) {}
 
+// blind has gateways that reach no server: what they send is lost on the way.
+type blind struct {
+	part float64
+	hit  []*gateway
+}
+
+func (t *blind) begin(e *engine) {
+	for _, i := range e.some(len(e.gateways), t.part) {
+		t.hit = append(t.hit, e.gateways[i])
+		e.gateways[i].blind = true
+	}
+}
+
+func (t *blind) end(*engine) {
+	for _, g := range t.hit {
+		g.blind = false
+	}
+}
+
 // standstill stops gateways' machines for a time: what comes waits.
 type standstill struct {
 	part float64
--- a/internal/lab/virtual/trouble_servers.go
+++ b/internal/lab/virtual/trouble_servers.go
@@ -11,7 +11,7 @@
 type serversLost struct {
 	part  float64
 	hall  int
-	whole bool // a whole hall
+	whole bool // a whole hall, or a part of one
 	hit   []*server
 }
 
@@ -23,6 +23,12 @@
 				t.hit = append(t.hit, s)
 			}
 		}
+		if all := t.hit; t.part > 0 {
+			t.hit = nil
+			for _, i := range e.some(len(all), t.part) {
+				t.hit = append(t.hit, all[i])
+			}
+		}
 	} else {
 		for _, i := range e.some(len(up), t.part) {
 			t.hit = append(t.hit, up[i])
--- a/internal/lab/virtual/trouble_test.go
+++ b/internal/lab/virtual/trouble_test.go
@@ -39,6 +39,8 @@
 		"mass_change":      {world.Trouble{Part: 0.5}, moreFailed},
 		"hall_lost":        {world.Trouble{Hall: 1}, fewerInTime},
 		"hall_cut":         {world.Trouble{Hall: 1}, fewerInTime},
+		"link_cut":         {world.Trouble{Hall: 1, To: 0}, fewerInTime},
+		"blind":            {world.Trouble{Part: 0.4}, fewerInTime},
 		"answers_lost":     {world.Trouble{Part: 0.3}, moreFailed},
 		"resets":           {world.Trouble{Part: 0.3}, moreFailed},
 		"counter_slow":     {world.Trouble{Size: 100}, func(p pair) bool { return p.with.CallsRefused > p.without.CallsRefused+20 }},
--- a/internal/lab/world/check.go
+++ b/internal/lab/world/check.go
@@ -22,13 +22,15 @@
 
 	positive("length", w.Length)
 	within("gateways.count", float64(w.Gateways.Count), 1, 100000)
-	within("gateways.halls", float64(w.Gateways.Halls), 1, 64)
+	within("gateways.halls", float64(w.Gateways.Halls), 1, hallsMost)
+	w.regionsWrong(say)
 	within("gateways.pushes", float64(w.Gateways.Pushes), 1, 16)
 	s := w.Servers
 	within("servers.count", float64(s.Count), 1, 100000)
 	within("servers.cores", float64(s.Cores), 1, 1024)
 	within("servers.queue", float64(s.Queue), 0, 1e6)
-	say(s.Speed[0] > 0 && s.Speed[0] <= s.Speed[1], "servers.speed", "is %v; the first is more than nought and no more than the second", s.Speed)
+	say(s.Speed[0] > 0 && s.Speed[0] <= s.Speed[1], "servers.speed",
+		"is %v; the first is more than nought and no more than the second", s.Speed)
 	within("servers.cell", float64(s.Cell), 1, 1e6)
 	within("servers.connections", float64(s.Connections), 1, 1e6)
 	positive("servers.idle", s.Idle)
@@ -59,7 +61,8 @@
 		say(l.Spread != "lognormal" || l.CV > 0, at("cv"), "is %g; a lognormal needs one of more than nought", l.CV)
 		say(l.Spread == "lognormal" || l.CV == 0, at("cv"), "is for a lognormal alone, and the spread is %q", l.Spread)
 		positive(at("soft_limit"), l.SoftLimit)
-		say(l.Patience >= l.SoftLimit, at("patience"), "is %v, less than the soft limit of %v", l.Patience.D(), l.SoftLimit.D())
+		say(l.Patience >= l.SoftLimit, at("patience"),
+			"is %v, less than the soft limit of %v", l.Patience.D(), l.SoftLimit.D())
 		say(l.Gain > 0, at("gain"), "is %g; more than nought is allowed", l.Gain)
 		within(at("late"), l.Late, 0, 1)
 		choice(at("effect"), l.Effect, "pure", "receipted", "effectful")
@@ -81,8 +84,10 @@
 		say(p.Share >= 0, at("share"), "is %g; nought at least", p.Share)
 		within(at("customers"), float64(p.Customers), 1, 1e7)
 		say(p.Rate >= 0, at("rate"), "is %g; nought at least", p.Rate)
-		say(p.Rate == 0 && p.Burst == 0 || p.Rate > 0 && p.Burst > 0, at("burst"), "is %g with a rate of %g; both, or neither", p.Burst, p.Rate)
-		say(p.CeilingRate == 0 || p.CeilingRate >= p.Rate, at("ceiling_rate"), "is %g, less than the rate of %g", p.CeilingRate, p.Rate)
+		say(p.Rate == 0 && p.Burst == 0 || p.Rate > 0 && p.Burst > 0, at("burst"),
+			"is %g with a rate of %g; both, or neither", p.Burst, p.Rate)
+		say(p.CeilingRate == 0 || p.CeilingRate >= p.Rate, at("ceiling_rate"),
+			"is %g, less than the rate of %g", p.CeilingRate, p.Rate)
 		say(p.CeilingRate == 0 || p.CeilingBurst > 0, at("ceiling_burst"), "is missing beside a ceiling_rate")
 		say(p.OverCost >= 0, at("over_cost"), "is %g; nought at least", p.OverCost)
 		say(p.Spread[0] >= 0 && p.Spread[0] <= p.Spread[1] && p.Spread[1] <= 1, at("spread"),
@@ -104,9 +109,11 @@
 	if w.Counter.Rate > 0 {
 		positive("counter.limit", w.Counter.Limit)
 	}
-	say(w.Discovery.Lag[0] >= 0 && w.Discovery.Lag[0] <= w.Discovery.Lag[1], "discovery.lag", "the first is no more than the second")
+	say(w.Discovery.Lag[0] >= 0 && w.Discovery.Lag[0] <= w.Discovery.Lag[1], "discovery.lag",
+		"the first is no more than the second")
 	positive("network.connect", w.Network.Connect)
 	within("network.jitter", w.Network.Jitter, 0, 1)
+	say(w.Network.Far == 0 || w.Network.Far >= w.Network.Cross, "network.far", "is less than network.cross")
 	say(w.Network.Same >= 0 && w.Network.Cross >= w.Network.Same, "network.cross", "is less than network.same")
 	say(w.Rules.FallMultiple > 1, "rules.fall_multiple", "is %g; more than 1 is allowed", w.Rules.FallMultiple)
 	positive("rules.tip_after", w.Rules.TipAfter)
@@ -126,6 +133,8 @@
 		say(t.Lane == "" || names[t.Lane], at("lane"), "is %q, which is no lane", t.Lane)
 		say(t.Plan == "" || plans[t.Plan], at("plan"), "is %q, which is no plan", t.Plan)
 		within(at("hall"), float64(t.Hall), 0, float64(w.Gateways.Halls-1))
+		within(at("to"), float64(t.To), 0, float64(w.Gateways.Halls-1))
+		say(!k.Link || t.Hall != t.To, at("to"), "is the same hall, %d; a link has two ends", t.To)
 	}
 	return all
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -51,6 +51,8 @@
 type Gateways struct {
 	Count int `toml:"count"`
 	Halls int `toml:"halls"`
+	// Regions are the halls of each region; none: all halls are of one.
+	Regions [][]int `toml:"regions"`
 	// Pool has a gateway push to the part of the servers that its pushes can keep open, as on sockets.
 	Pool bool `toml:"pool"`
 	// Pushes is the most pushes of a task.
@@ -142,6 +144,7 @@
 type Network struct {
 	Same    Span    `toml:"same"`  // one way, in a hall
 	Cross   Span    `toml:"cross"` // between halls
+	Far     Span    `toml:"far"`   // between regions; 0: as between halls
 	Jitter  float64 `toml:"jitter"`
 	Connect Span    `toml:"connect"` // a connection not up by then is none
 }
@@ -165,4 +168,5 @@
 	Lane string  `toml:"lane"`
 	Plan string  `toml:"plan"`
 	Hall int     `toml:"hall"`
+	To   int     `toml:"to"` // the other hall of a link
 }
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -65,7 +65,7 @@
 		`w.toml:17:1: lane.1.name is "a"`,
 		"w.toml:19:1: lane.1.work is 0s",
 		"w.toml:24:1: load.rate is 0",
-		`w.toml:27:1: trouble.0.kind is "counter_slwo"; known are answers_lost, burst,`,
+		`w.toml:27:1: trouble.0.kind is "counter_slwo"; known are answers_lost, blind, burst,`,
 		"w.toml:31:1: trouble.1.at is 1m39s",
 	} {
 		if !strings.Contains(err.Error(), want) {
@@ -96,6 +96,10 @@
 	for text, want := range map[string]string{
 		"[counter]\nrate = 0\n[[trouble]]\nkind = \"counter_silent\"\n": "and this world has no counter",
 		"[gateways]\nhalls = 1\n[[trouble]]\nkind = \"hall_cut\"\n":     "and this world has one hall",
+		"[gateways]\nhalls = 3\nregions = [[0, 1]]\n":                   "gateways.regions leaves out hall 2",
+		"[gateways]\nhalls = 2\nregions = [[0, 1], [1]]\n":              "gateways.regions names hall 1 twice",
+		"[gateways]\nhalls = 2\nregions = [[0, 2], [1]]\n":              "gateways.regions names hall 2; from 0 to 1",
+		"[[trouble]]\nkind = \"link_cut\"\nhall = 1\nto = 1\n":          "a link has two ends",
 		"[[trouble]]\nkind = \"flood\"\nplan = \"gold\"\n":              `"gold", which is no plan`,
 		"[[trouble]]\nkind = \"lane_silent\"\nlane = \"x\"\n":           `"x", which is no lane`,
 		"[[plan]]\nname=\"p\"\nshare=1\ncustomers=1\nrate=2\n":          "burst is 0 with a rate of 2",
