--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -89,6 +89,8 @@
 				return err
 			}
 			report.Table(cmd.OutOrStdout(), lines)
+			fmt.Fprintln(cmd.OutOrStdout())
+			report.Failover(cmd.OutOrStdout(), lines)
 			return nil
 		}}
 	c.Flags().StringVarP(&out, "out", "o", "results.jsonl", "file for the results, a line of JSON each")
@@ -153,6 +155,8 @@
 				return err
 			}
 			report.Table(cmd.OutOrStdout(), all)
+			fmt.Fprintln(cmd.OutOrStdout())
+			report.Failover(cmd.OutOrStdout(), all)
 			for _, n := range names {
 				fmt.Fprintf(cmd.OutOrStdout(), "\n![%s](%s)\n", strings.TrimSuffix(filepath.Base(n), ".svg"), n)
 			}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -28,6 +28,17 @@
 	Seeds    int       `toml:"seeds"`  // 1 to so many
 	Gateways []int     `toml:"gateways"`
 	Variants []Variant `toml:"variant"`
+	// Stories are played on each world, under the world's name and theirs; none: the worlds as they stand.
+	Stories []Story `toml:"story"`
+}
+
+// Story is what goes wrong in a world, in place of what its file says.
+type Story struct {
+	Name     string          `toml:"name"`
+	Load     float64         `toml:"load"` // times the world's; 0: as it is
+	Troubles []world.Trouble `toml:"trouble"`
+	// Drawn is how many troubles are drawn for each seed besides, none of which loses a hall or cuts it off.
+	Drawn int `toml:"drawn"`
 }
 
 // Variant is a policy and what it changes of a world.
@@ -35,6 +46,7 @@
 	Name   string `toml:"name"`
 	Policy string `toml:"policy"`
 	Pool   *bool  `toml:"pool"`
+	Common string `toml:"common"` // as a world's common.how; empty: as the world says
 }
 
 // ReadPlan reads and checks a plan.
@@ -65,7 +77,10 @@
 		if v.Name == "" {
 			p.Variants[i].Name = v.Policy
 		}
-		say(baseline.All[v.Policy] != nil, "variant %d: policy is %q; one of %s is allowed", i+1, v.Policy, strings.Join(baseline.Names, ", "))
+		say(baseline.All[v.Policy] != nil, "variant %d: policy is %q; one of %s is allowed", i+1, v.Policy,
+			strings.Join(baseline.Names, ", "))
+		say(v.Common == "" || slices.Contains([]string{world.None, world.Own, world.All}, v.Common),
+			"variant %d: common is %q; none, own or common is allowed", i+1, v.Common)
 		say(!seen[p.Variants[i].Name], "variant %d: %q is there twice", i+1, p.Variants[i].Name)
 		seen[p.Variants[i].Name] = true
 	}
@@ -125,7 +140,19 @@
 					if v.Pool != nil {
 						s.Gateways.Pool = *v.Pool
 					}
-					jobs = append(jobs, job{s, v, uint64(seed + 1)})
+					if v.Common != "" {
+						s.Common.How = v.Common
+					}
+					if len(p.Stories) == 0 {
+						jobs = append(jobs, job{s, v, uint64(seed + 1)})
+					}
+					for i := range p.Stories {
+						t := p.Stories[i].told(s, uint64(seed+1))
+						if err := t.Check(file); err != nil {
+							return err
+						}
+						jobs = append(jobs, job{t, v, uint64(seed + 1)})
+					}
 				}
 			}
 		}
--- a/internal/lab/experiment/line.go
+++ b/internal/lab/experiment/line.go
@@ -33,6 +33,9 @@
 	Out      float64          `json:"failed_out"`        // their time ran out while a try was out
 	Crossed  float64          `json:"crossed"`           // part of the pushes that went to another hall
 	Far      float64          `json:"far"`               // to another region
+	Plans    int              `json:"plans,omitempty"`   // written
+	Wrong    int              `json:"wrong,omitempty"`   // of them, that newly held to be lost what was not
+	PlanMs   []int            `json:"plan_ms,omitempty"` // from the loss of a hall until a gateway pushed elsewhere
 	Hottest  float64          `json:"hottest"`           // work sent to a whole hall in a second over its strength, at its highest
 	Tries    float64          `json:"tries"`             // a request
 	Calls    float64          `json:"calls"`             // to the counter, a request
@@ -81,7 +84,7 @@
 		Service: r.Service(), Net: r.Net(), Beyond: r.Beyond / max(r.Units, 1e-9), Refused: part(r.Refused, r.Offered),
 		Failed: part(r.Failed, r.Offered), Between: part(r.Ends.Between, r.Offered), Ended: part(r.Ends.Terminated, r.Offered),
 		Died: part(r.Ends.Died, r.Offered), Out: part(r.Ends.Out, r.Offered), Crossed: part(r.Crossed, r.Pushes),
-		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
+		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Plans: r.Plans, Wrong: r.Wrong, PlanMs: r.PlanMs, Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
 		Shakes: part(r.Handshakes, r.Pushes), Uneven: r.Uneven, P50: r.P50, P99: r.P99, P999: r.P999, Lanes: r.Lanes,
 		Seconds: r.Seconds, Troubles: w.Troubles, Wall: time.Since(began).Seconds()}
 	for _, n := range r.Broken {
--- /dev/null
+++ b/internal/lab/experiment/story.go
@@ -0,0 +1,58 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"harrierhoist/internal/lab/world"
+)
+
+// mild are the troubles that a day without a lost hall may have, and the largest part that each strikes.
+var mild = []struct {
+	kind       string
+	part, size float64
+}{
+	{"server_errors", 0.6, 0.6},
+	{"server_slow", 0.3, 4},
+	{"server_lost", 0.2, 0},
+	{"deploy", 0.5, 0},
+	{"resets", 0.1, 0},
+	{"answers_lost", 0.1, 0},
+	{"counter_slow", 0, 100},
+	{"counter_silent", 0, 0},
+	{"burst", 0, 2.5},
+	{"flood", 0, 6},
+	{"kill", 0.2, 0},
+	{"standstill", 0.4, 0},
+	{"blind", 0.05, 0},
+	{"list_lost", 0.3, 0},
+	{"leader_lost", 0, 0},
+}
+
+// Day draws so many mild troubles for a world: the same seed gives the same day at any size.
+func Day(w *world.World, seed uint64, n int) []world.Trouble {
+	chance := rand.New(rand.NewPCG(seed, 77))
+	length := w.Length.D()
+	var all []world.Trouble
+	for range n {
+		m := mild[chance.IntN(len(mild))]
+		at, long, part, size := chance.Float64(), chance.Float64(), chance.Float64(), chance.Float64()
+		t := world.Trouble{Kind: m.kind, At: world.Span(float64(length) * (0.1 + 0.6*at)), For: world.Span(float64(length) * (0.05 + 0.25*long)),
+			Part: m.part * part, Size: m.size * size}
+		if m.size > 1 {
+			t.Size = max(t.Size, 1)
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
+// told makes the world of a story.
+func (s *Story) told(w *world.World, seed uint64) *world.World {
+	c := *w
+	c.Name += ": " + s.Name
+	if s.Load > 0 {
+		c.Load.Rate *= s.Load
+	}
+	c.Troubles = append(append([]world.Trouble(nil), s.Troubles...), Day(w, seed, s.Drawn)...)
+	return &c
+}
--- a/internal/lab/virtual/counter.go
+++ b/internal/lab/virtual/counter.go
@@ -45,6 +45,9 @@
 	tell := func(after time.Duration, units float64, how policy.Outcome) {
 		e.after(after, func() {
 			g.do(life, func() {
+				if f := g.follower; f != nil {
+					f.w.Counted(how != policy.Answered || e.now-began > e.w.Counter.Limit.D())
+				}
 				g.d.Counted(e.now, policy.Tally{Name: name, Total: units, Took: e.now - began, Outcome: how})
 			})
 		})
--- a/internal/lab/virtual/engine.go
+++ b/internal/lab/virtual/engine.go
@@ -30,6 +30,7 @@
 	servers  []*server // all that ever were; the number is the place and 1
 	gateways []*gateway
 	counter  *counter
+	common   *common // nil: nothing is held in common
 	clients  *clients
 	ledger   *ledger.Ledger
 	make     baseline.Make
@@ -63,9 +64,13 @@
 		e.addServer(i%w.Gateways.Halls, i/w.Gateways.Halls/w.Servers.Cell*w.Gateways.Halls+i%w.Gateways.Halls, 0)
 	}
 	e.counter = newCounter(e)
+	e.common = newCommon(e, stream(6))
 	setup := stream(4)
 	for n := range w.Gateways.Count {
 		g := &gateway{e: e, n: n, hall: n % w.Gateways.Halls}
+		if e.common != nil {
+			g.follower = e.common.followers[n]
+		}
 		e.gateways = append(e.gateways, g)
 		if err := g.start(setup.Uint64()); err != nil {
 			return nil, err
@@ -96,7 +101,9 @@
 }
 
 // hop is the time that a message takes between two halls.
-func (e *engine) hop(a, b int) time.Duration {
+func (e *engine) hop(a, b int) time.Duration { return e.hopBy(e.chance, a, b) }
+
+func (e *engine) hopBy(chance *rand.Rand, a, b int) time.Duration {
 	d := e.w.Network.Same.D()
 	switch {
 	case e.regions[a] != e.regions[b] && e.w.Network.Far > 0:
@@ -104,7 +111,7 @@
 	case a != b:
 		d = e.w.Network.Cross.D()
 	}
-	return time.Duration(float64(d) * (1 + e.w.Network.Jitter*(2*e.chance.Float64()-1)))
+	return time.Duration(float64(d) * (1 + e.w.Network.Jitter*(2*chance.Float64()-1)))
 }
 
 // parted tells whether nothing passes between two halls.
--- /dev/null
+++ b/internal/lab/virtual/follow.go
@@ -0,0 +1,231 @@
+package virtual
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"harrierhoist/internal/cluster"
+	"harrierhoist/internal/cluster/evidence"
+	"harrierhoist/internal/cluster/tables"
+	"harrierhoist/internal/failover"
+	"harrierhoist/internal/lab/world"
+	"harrierhoist/internal/pool"
+	"harrierhoist/internal/witness"
+	"harrierhoist/policy"
+)
+
+const (
+	// missesMost is how many digests in a row without an answer have a gateway turn to another voter.
+	missesMost = 2
+	// readLate is how long after its wait a read is given up.
+	readLate = 300 * time.Millisecond
+	// readPause is the time between a read that failed and the next.
+	readPause = 100 * time.Millisecond
+	// forever is a lease that does not end: of what a gateway decides itself.
+	forever = time.Duration(math.MaxInt64)
+	// shedAway is as in the gate.
+	shedAway = time.Second
+)
+
+// follower is a gateway's part in what is held in common.
+type follower struct {
+	c               *common
+	n               int
+	g               *gateway
+	w               *witness.Witness
+	voter, misses   int
+	serial, session uint64
+	reading         uint64 // counts reads; an answer to an earlier one is late
+	held            cluster.Held
+	plan            *failover.Plan
+	acts            string // what the pool was last steered by
+	weights         map[string]float64
+	// Of those that decide alone.
+	book    *evidence.Book
+	decider cluster.Decider
+	since   time.Duration
+}
+
+// begin begins a life of a gateway: it holds nothing.
+func (f *follower) begin(g *gateway) {
+	c := f.c
+	*f = follower{c: c, n: f.n, g: g, session: f.session + 1, reading: f.reading + 1}
+	f.w = witness.New(c.halls, g.hall, &c.e.site)
+	if c.w.How == world.Own {
+		f.alone()
+	} else {
+		f.voter = f.nearest()
+		f.read()
+	}
+	first := c.w.Digest.D() * time.Duration(f.n%97+1) / 97 // not all at once
+	life := g.life
+	c.e.after(first, func() { f.beat(life) })
+	f.apply()
+}
+
+// nearest is the voter that it turns to first: in its hall, else in its region, else any.
+func (f *follower) nearest() int {
+	regions, voters := f.c.e.regions, f.c.voters
+	for _, near := range []func(hall int) bool{
+		func(hall int) bool { return hall == f.g.hall },
+		func(hall int) bool { return regions[hall] == regions[f.g.hall] },
+	} {
+		for i := range voters {
+			if v := (f.n + i) % len(voters); near(voters[v].hall) {
+				return v
+			}
+		}
+	}
+	return f.n % len(voters)
+}
+
+// beat sends a digest, and again after its time.
+func (f *follower) beat(life int) {
+	if f.g.life != life || !f.g.alive {
+		return
+	}
+	f.c.e.after(f.c.w.Digest.D(), func() { f.beat(life) })
+	f.g.do(life, f.digest)
+}
+
+func (f *follower) digest() {
+	c, now := f.c, f.c.e.now
+	counts := map[string]uint64{}
+	f.w.Counts(now, func(name string, n uint64) { counts[name] += n })
+	if c.w.How == world.Own {
+		f.decide(counts)
+		return
+	}
+	f.apply() // it may see its own hall with other eyes
+	f.serial++
+	d := evidence.Digest{Process: fmt.Sprint("g", f.n), Incarnation: uint64(f.g.life), Serial: f.serial, Session: f.session,
+		Counts: counts}
+	v := c.voters[f.voter]
+	if !v.dead && c.send(f.g.hall, v.hall, func() {
+		if !v.dead {
+			v.direct.Take(d)
+		}
+	}) {
+		f.misses = 0
+		return
+	}
+	if f.misses++; f.misses >= missesMost {
+		f.turn()
+	}
+}
+
+// turn goes over to the next voter.
+func (f *follower) turn() {
+	f.voter, f.misses = (f.voter+1)%len(f.c.voters), 0
+	f.session++
+}
+
+// read asks for what is later than held, again and again.
+func (f *follower) read() {
+	c, g, life, sent := f.c, f.g, f.g.life, f.c.e.now
+	f.reading++
+	mine := f.reading
+	again := func(after time.Duration) {
+		c.e.after(after, func() {
+			g.do(life, func() {
+				if f.reading == mine {
+					f.read()
+				}
+			})
+		})
+	}
+	v := c.voters[f.voter]
+	answer := func(e tables.Entry, confirmed bool) {
+		c.send(v.hall, g.hall, func() {
+			g.do(life, func() {
+				if f.reading != mine {
+					return
+				}
+				if !confirmed {
+					f.turn()
+					again(readPause)
+					return
+				}
+				f.take(e, sent+c.w.Lease.D())
+				f.read()
+			})
+		})
+	}
+	c.send(g.hall, v.hall, func() { v.read(&read{known: f.held.Epoch, answer: answer}) })
+	c.e.after(c.w.Wait.D()+readLate, func() {
+		g.do(life, func() {
+			if f.reading == mine {
+				f.turn()
+				f.read()
+			}
+		})
+	})
+}
+
+// take takes a table with its lease.
+func (f *follower) take(e tables.Entry, until time.Duration) {
+	if e.Epoch < f.held.Epoch {
+		return
+	}
+	if e.Epoch > f.held.Epoch {
+		p, err := failover.Read(e.Value)
+		if err != nil {
+			panic(err) // the decider wrote it
+		}
+		f.plan = p
+	}
+	f.held = cluster.Held{Table: failover.Table, Epoch: e.Epoch, Value: e.Value, Until: until}
+	f.apply()
+	life := f.g.life
+	if until < forever {
+		f.c.e.at(until, func() { f.g.do(life, f.apply) })
+	}
+}
+
+// apply steers the pool by the plan while its lease stands, and by what it sees itself after that.
+func (f *follower) apply() {
+	hall := f.c.halls[f.g.hall]
+	var p failover.Part
+	if f.plan != nil && f.c.e.now < f.held.Until {
+		p = f.plan.Part(hall)
+	} else {
+		p = f.plan.PartAlone(hall, f.w.Lost())
+	}
+	if acts := fmt.Sprint(p); acts != f.acts {
+		f.acts, f.weights = acts, p.Weights
+		weights := make([]float64, len(f.c.halls))
+		for n, name := range f.c.halls {
+			weights[n] = p.Weights[name]
+		}
+		f.g.pool.Steer(weights, p.Shed)
+		f.g.hand()
+	}
+	f.c.inForce(f)
+}
+
+// told tells its witness the whole list.
+func (f *follower) told(all []pool.Server) {
+	list := make([]policy.Listed, 0, len(all))
+	for _, s := range all {
+		list = append(list, s.Listed)
+	}
+	f.w.Listed(f.c.e.now, list)
+}
+
+// shed rejects a try at once where it fits in no hall, as the gate does.
+func (f *follower) shed(t *try) bool {
+	repeat := t.number > 0 && f.c.e.w.Clients.Marks
+	if !repeat {
+		f.w.Came(t.request.told)
+	}
+	if !f.g.pool.Shed() {
+		return false
+	}
+	if !repeat {
+		f.w.Shed(t.request.told)
+	}
+	t.away = shedAway
+	f.g.final(t, rejected)
+	return true
+}
--- a/internal/lab/virtual/gateway.go
+++ b/internal/lab/virtual/gateway.go
@@ -29,6 +29,8 @@
 	next  uint32
 	wakes map[uint64]*wake
 	conns map[uint32]*conns
+	// follower is its part in what is held in common; nil: nothing is.
+	follower *follower
 }
 
 // conns are the connections to one server that rest; each end of a push puts one back.
@@ -57,6 +59,10 @@
 			e.ledger.Told(e.now, g.n, s.id, s.stage)
 		}
 	}
+	if g.follower != nil {
+		g.follower.begin(g)
+		return nil
+	}
 	g.hand()
 	return nil
 }
@@ -99,6 +105,9 @@
 	for _, n := range numbers {
 		all = append(all, pool.Server{Mark: g.e.servers[n-1].mark, Listed: g.list[n]})
 	}
+	if g.follower != nil {
+		g.follower.told(all)
+	}
 	part, sharers := g.pool.Part(g.e.now, all)
 	g.d.Shared(sharers)
 	g.d.List(g.e.now, policy.ListWhole, part)
@@ -114,8 +123,11 @@
 	t.local = g.next
 	g.tries[t.local] = t
 	r := t.request
-	g.d.Take(e.now, policy.Task{ID: t.local, Lane: t.lane, Plan: r.customer.plan, Customer: r.customer.id, First: r.customer.first,
-		Width: r.customer.width, Units: r.told, Expires: t.expires, Repeat: t.number > 0 && e.w.Clients.Marks})
+	if g.follower != nil && g.follower.shed(t) {
+		return
+	}
+	g.d.Take(e.now, policy.Task{ID: t.local, Lane: t.lane, Plan: r.customer.plan, Customer: r.customer.id,
+		First: r.customer.first, Width: r.customer.width, Units: r.told, Expires: t.expires, Repeat: t.number > 0 && e.w.Clients.Marks})
 }
 
 // kill ends a gateway; what it held is its clients' to repeat, and its servers go on with what they have.
--- a/internal/lab/virtual/push.go
+++ b/internal/lab/virtual/push.go
@@ -33,6 +33,9 @@
 	e.result.Pushes++
 	e.pushed(a)
 	e.ledger.Pushed(e.now, g.n, to, t.id)
+	if g.follower != nil {
+		g.follower.w.Pushed(e.now, s.hall, t.request.told, a.number == 0)
+	}
 	c := g.conns[to]
 	if c == nil {
 		c = &conns{}
@@ -109,6 +112,9 @@
 			return
 		}
 		a.over = true
+		if g.follower != nil {
+			g.follower.w.Ended(e.now, a.server.hall, a.server.id, how, e.now-a.at)
+		}
 		switch how {
 		case policy.Answered, policy.Errored, policy.Full:
 			if c := g.conns[a.server.id]; !a.server.dead {
--- a/internal/lab/virtual/result.go
+++ b/internal/lab/virtual/result.go
@@ -28,7 +28,12 @@
 	Crossed, Far int
 	// Hottest is the work sent to a hall in a second over what its servers can do in one, at its highest over all
 	// seconds and all halls that stood whole (wholeLeast).
-	Hottest                   float64
+	Hottest float64
+	// Plans were written, of which Wrong newly held to be lost what was not. PlanMs are the milliseconds from the loss of
+	// a whole hall until a gateway that pushed there pushed elsewhere, or until the hall came back.
+	Plans, Wrong int
+	PlanMs       []int
+
 	Calls, CallsRefused       int
 	Units, Beyond, BeyondGain float64
 	Uneven                    float64 // load of servers that stood all day: deviation over mean
--- a/internal/lab/virtual/trouble.go
+++ b/internal/lab/virtual/trouble.go
@@ -25,6 +25,7 @@
 	"link_cut":      func(t world.Trouble) trouble { return &linkCut{[2]int{min(t.Hall, t.To), max(t.Hall, t.To)}} },
 	"blind":         func(t world.Trouble) trouble { return &blind{part: t.Part} },
 	"hall_cut":      func(t world.Trouble) trouble { return &hallCut{t.Hall} },
+	"leader_lost":   func(world.Trouble) trouble { return &leaderLost{} },
 	"answers_lost": func(t world.Trouble) trouble {
 		return &figure{on: func(e *engine) *float64 { return &e.answersLost }, to: t.Part}
 	},
@@ -70,13 +71,43 @@
 
 func (t *hallCut) begin(e *engine) { e.cut[t.hall] = true }
 
-func (t *hallCut) end(e *engine) { delete(e.cut, t.hall) }
+func (t *hallCut) end(e *engine) {
+	delete(e.cut, t.hall)
+	e.linked()
+}
 
 // linkCut cuts the link between two halls.
 type linkCut struct{ ends [2]int }
 
 func (t *linkCut) begin(e *engine) { e.links[t.ends] = true }
-func (t *linkCut) end(e *engine)   { delete(e.links, t.ends) }
+func (t *linkCut) end(e *engine) {
+	delete(e.links, t.ends)
+	e.linked()
+}
+
+// linked tells those who hold things in common that what was cut is no more.
+func (e *engine) linked() {
+	if e.common != nil {
+		e.common.back = e.now
+	}
+}
+
+// leaderLost kills the voter that leads; it comes back with its disk, and nothing of what others saw.
+type leaderLost struct{ hit *voter }
+
+func (t *leaderLost) begin(e *engine) {
+	if e.common != nil && e.common.leader != nil {
+		t.hit = e.common.leader
+		t.hit.dead = true
+		t.hit.reads = nil
+	}
+}
+
+func (t *leaderLost) end(*engine) {
+	if t.hit != nil {
+		t.hit.start()
+	}
+}
 
 // figure sets a figure of the world and sets it back.
 type figure struct {
--- a/internal/lab/virtual/trouble_servers.go
+++ b/internal/lab/virtual/trouble_servers.go
@@ -37,6 +37,9 @@
 	for _, s := range t.hit {
 		s.silent = true
 	}
+	if t.whole && t.part == 0 && e.common != nil {
+		e.common.hallLost(t.hall)
+	}
 }
 
 func (t *serversLost) end(e *engine) {
@@ -46,6 +49,9 @@
 			e.tell(s)
 		}
 	}
+	if t.whole && e.common != nil {
+		e.common.hallBack(t.hall)
+	}
 }
 
 // serversChange changes something of some servers and sets it back.
--- a/internal/lab/world/check.go
+++ b/internal/lab/world/check.go
@@ -24,6 +24,8 @@
 	within("gateways.count", float64(w.Gateways.Count), 1, 100000)
 	within("gateways.halls", float64(w.Gateways.Halls), 1, hallsMost)
 	w.regionsWrong(say)
+	w.Common.wrong(say)
+	w.failoverWrong(say)
 	within("gateways.pushes", float64(w.Gateways.Pushes), 1, 16)
 	s := w.Servers
 	within("servers.count", float64(s.Count), 1, 100000)
--- a/internal/lab/world/kinds.go
+++ b/internal/lab/world/kinds.go
@@ -25,6 +25,7 @@
 	"hall_cut":         {What: "nothing passes between a hall and the others", Halls: true},
 	"link_cut":         {What: "nothing passes between hall and to", Halls: true, Link: true},
 	"blind":            {What: "part of the gateways reach no server"},
+	"leader_lost":      {What: "the voter that leads, where there is one, is killed; it comes back with what it had on disk"},
 	"answers_lost":     {What: "part of the answers are lost on their way"},
 	"resets":           {What: "part of the pushes end as resets, half of them after they ran"},
 	"counter_slow":     {What: "calls take size times longer", Counter: true},
--- a/internal/lab/world/read.go
+++ b/internal/lab/world/read.go
@@ -65,7 +65,16 @@
 			p.Price = 1
 		}
 	}
-	at := places(text)
+	if err := w.check(file, places(text)); err != nil {
+		return nil, err
+	}
+	return &w, nil
+}
+
+// Check checks a world that was changed after it was read; the error joins a Fault for each thing that is wrong.
+func (w *World) Check(file string) error { return w.check(file, nil) }
+
+func (w *World) check(file string, at map[string]unstable.Position) error {
 	var all []error
 	for _, wrong := range w.wrong() {
 		f := Fault{File: file, What: wrong.path + " " + wrong.what}
@@ -78,10 +87,7 @@
 		}
 		all = append(all, f)
 	}
-	if len(all) > 0 {
-		return nil, errors.Join(all...)
-	}
-	return &w, nil
+	return errors.Join(all...)
 }
 
 // Faults gives the decoder's errors their places.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"time"
+
+	"harrierhoist/internal/failover"
 )
 
 // Span is a time in the file, written with its unit: "250ms", "1m30s".
@@ -34,17 +36,19 @@
 	Seed   uint64 `toml:"seed"`   // of all chance; a run may override it
 	Length Span   `toml:"length"` // in which tasks are offered; answers are waited for after it
 
-	Gateways  Gateways  `toml:"gateways"`
-	Servers   Servers   `toml:"servers"`
-	Lanes     []Lane    `toml:"lane"`
-	Plans     []Plan    `toml:"plan"`
-	Load      Load      `toml:"load"`
-	Clients   Clients   `toml:"clients"`
-	Counter   Counter   `toml:"counter"`
-	Discovery Discovery `toml:"discovery"`
-	Network   Network   `toml:"network"`
-	Rules     Rules     `toml:"rules"`
-	Troubles  []Trouble `toml:"trouble"`
+	Gateways  Gateways       `toml:"gateways"`
+	Servers   Servers        `toml:"servers"`
+	Lanes     []Lane         `toml:"lane"`
+	Plans     []Plan         `toml:"plan"`
+	Load      Load           `toml:"load"`
+	Clients   Clients        `toml:"clients"`
+	Counter   Counter        `toml:"counter"`
+	Discovery Discovery      `toml:"discovery"`
+	Network   Network        `toml:"network"`
+	Rules     Rules          `toml:"rules"`
+	Common    Common         `toml:"common"`
+	Failover  failover.Terms `toml:"failover"` // regions are those of the gateways; bears, at 0, is what servers are made to
+	Troubles  []Trouble      `toml:"trouble"`
 }
 
 // Gateways are the machines under test.
