Laboratory: gateways are steered by the program's own steering

The follower in virtual time now meets package steer as the gate does, in place of a copy of what it would do: a lease ends with the next task, whoever slept meanwhile.

--- a/internal/lab/virtual/alone.go
+++ b/internal/lab/virtual/alone.go
@@ -28,7 +28,7 @@
 		f.take(tables.Entry{Epoch: f.held.Epoch + 1, Value: value}, forever)
 		return
 	}
-	f.apply()
+	f.steer.Step()
 }
 
 // spread makes of one gateway's counts those of a fleet like it. What is counted of a hall that tasks come in at is
--- a/internal/lab/virtual/gateway.go
+++ b/internal/lab/virtual/gateway.go
@@ -116,6 +116,9 @@
 // take takes a try that has come whole.
 func (g *gateway) take(t *try) {
 	e := g.e
+	if g.follower != nil {
+		g.follower.keep()
+	}
 	if g.pool.Due(e.now) {
 		g.hand()
 	}
--- /dev/null
+++ b/internal/lab/virtual/steered.go
@@ -0,0 +1,89 @@
+package virtual
+
+import (
+	"time"
+
+	"harrierhoist/internal/cluster"
+	"harrierhoist/internal/gate"
+	"harrierhoist/internal/pool"
+	"harrierhoist/policy"
+)
+
+// This file is where the program's own steering meets a gateway that is played: what package gate does between the two.
+
+// commons is what a follower holds, as the steering asks for it.
+type commons struct{ f *follower }
+
+// Now is the virtual time.
+func (c commons) Now() time.Duration { return c.f.c.e.now }
+
+// Held is the one table.
+func (c commons) Held(string) cluster.Held { return c.f.held }
+
+// Changed is not waited for: steps are taken with each change.
+func (c commons) Changed() <-chan struct{} { return nil }
+
+// Witness is not used: digests take counts from the witness itself.
+func (c commons) Witness(func(add func(name string, n uint64))) {}
+
+// WitnessExact is not used.
+func (c commons) WitnessExact(func(add func(name string, n uint64))) {}
+
+// Steer steers the pool until the lease ends, and then the other way with the next task.
+func (f *follower) Steer(by gate.Steering, lease time.Duration, after gate.Steering) {
+	f.until, f.after = f.c.e.now+lease, &after
+	if lease <= 0 {
+		f.after = nil
+		by = after
+	}
+	f.steered(by)
+}
+
+func (f *follower) steered(by gate.Steering) {
+	f.by = by
+	if f.g.pool.Steer(by.Weights, by.Shed) {
+		f.g.hand()
+	}
+	f.c.inForce(f)
+}
+
+// keep sees, with each task, to the end of a lease.
+func (f *follower) keep() {
+	if f.after != nil && f.c.e.now >= f.until {
+		by := *f.after
+		f.after = nil
+		f.steered(by)
+	}
+}
+
+// Witnessed is not used.
+func (f *follower) Witnessed(func(name string, n uint64)) {}
+
+// HallLost tells whether it sees its own hall lost.
+func (f *follower) HallLost() bool { return f.w.Lost() }
+
+// told tells its witness the whole list.
+func (f *follower) told(all []pool.Server) {
+	list := make([]policy.Listed, 0, len(all))
+	for _, s := range all {
+		list = append(list, s.Listed)
+	}
+	f.w.Listed(f.c.e.now, list)
+}
+
+// shed rejects a try at once where it fits in no hall.
+func (f *follower) shed(t *try) bool {
+	repeat := t.number > 0 && f.c.e.w.Clients.Marks
+	if !repeat {
+		f.w.Came(t.request.told)
+	}
+	if !f.g.pool.Shed() {
+		return false
+	}
+	if !repeat {
+		f.w.Shed(t.request.told)
+	}
+	t.away = shedAway
+	f.g.final(t, rejected)
+	return true
+}
