--- a/internal/lab/experiment/line.go
+++ b/internal/lab/experiment/line.go
@@ -36,6 +36,9 @@
 	Plans    int              `json:"plans,omitempty"`   // written
 	Wrong    int              `json:"wrong,omitempty"`   // of them, that newly held to be lost what was not
 	PlanMs   []int            `json:"plan_ms,omitempty"` // from the loss of a hall until a gateway pushed elsewhere
+	Held     virtual.Messages `json:"held"`              // what came to voters
+	Led      virtual.Messages `json:"led"`               // to the one that led
+	Length   float64          `json:"length_s"`          // of the world
 	Hottest  float64          `json:"hottest"`           // work sent to a whole hall in a second over its strength, at its highest
 	Warmest  float64          `json:"warmest"`           // the same over five seconds
 	Tries    float64          `json:"tries"`             // a request
@@ -85,7 +88,7 @@
 		Service: r.Service(), Net: r.Net(), Beyond: r.Beyond / max(r.Units, 1e-9), Refused: part(r.Refused, r.Offered),
 		Failed: part(r.Failed, r.Offered), Between: part(r.Ends.Between, r.Offered), Ended: part(r.Ends.Terminated, r.Offered),
 		Died: part(r.Ends.Died, r.Offered), Out: part(r.Ends.Out, r.Offered), Crossed: part(r.Crossed, r.Pushes),
-		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Warmest: r.Warmest, Plans: r.Plans, Wrong: r.Wrong, PlanMs: r.PlanMs, Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
+		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Warmest: r.Warmest, Plans: r.Plans, Wrong: r.Wrong, PlanMs: r.PlanMs, Held: r.Held, Led: r.Led, Length: w.Length.D().Seconds(), Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
 		Shakes: part(r.Handshakes, r.Pushes), Uneven: r.Uneven, P50: r.P50, P99: r.P99, P999: r.P999, Lanes: r.Lanes,
 		Seconds: r.Seconds, Troubles: w.Troubles, Wall: time.Since(began).Seconds()}
 	for _, n := range r.Broken {
--- a/internal/lab/report/failover.go
+++ b/internal/lab/report/failover.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 
 	"harrierhoist/internal/lab/experiment"
 )
@@ -21,8 +22,8 @@
 			continue
 		}
 		if !begun {
-			fmt.Fprintln(out, "| world | gateways | variant | plays | plans | wrong | gateways moved | ms p50 | ms p99 |")
-			fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+			fmt.Fprintln(out, "| world | gateways | variant | plays | plans | wrong | gateways moved | ms p50 | ms p99 | digests/s | at the leader | reads/s | at the leader | merged/s there |")
+			fmt.Fprintln(out, strings.Repeat("| --- ", 14)+"|")
 			begun = true
 		}
 		slices.Sort(ms)
@@ -30,7 +31,16 @@
 		if n := len(ms); n > 0 {
 			p50, p99 = fmt.Sprint(ms[(n-1)/2]), fmt.Sprint(ms[(n-1)*99/100])
 		}
-		fmt.Fprintf(out, "| %s | %d | %s | %d | %d | %d | %d | %s | %s |\n", g[0].World, g[0].Gateways, g[0].Variant, len(g), plans,
-			wrong, len(ms), p50, p99)
+		fmt.Fprintf(out, "| %s | %d | %s | %d | %d | %d | %d | %s | %s | %.0f | %.0f | %.0f | %.0f | %.0f |\n", g[0].World, g[0].Gateways, g[0].Variant, len(g), plans,
+			wrong, len(ms), p50, p99, rate(g, func(l *experiment.Line) int { return l.Held.Digests }),
+			rate(g, func(l *experiment.Line) int { return l.Led.Digests }),
+			rate(g, func(l *experiment.Line) int { return l.Held.Reads }),
+			rate(g, func(l *experiment.Line) int { return l.Led.Reads }),
+			rate(g, func(l *experiment.Line) int { return l.Led.Merged }))
 	}
 }
+
+// rate is the mean of a count, a second of the world.
+func rate(g []*experiment.Line, of func(*experiment.Line) int) float64 {
+	return meanOf(g, func(l *experiment.Line) float64 { return float64(of(l)) / l.Length })
+}
--- a/internal/lab/virtual/common.go
+++ b/internal/lab/virtual/common.go
@@ -73,6 +73,17 @@
 	return true
 }
 
+// count counts a message that a voter takes.
+func (c *common) count(v *voter, of func(*Messages) *int) {
+	if c.e.now >= origin+c.e.w.Length.D() {
+		return // answers alone are waited for
+	}
+	*of(&c.e.result.Held)++
+	if v == c.leader {
+		*of(&c.e.result.Led)++
+	}
+}
+
 func (c *common) drawn(s [2]world.Span) time.Duration {
 	return s[0].D() + time.Duration(c.draw.Float64()*float64(s[1]-s[0]))
 }
--- a/internal/lab/virtual/common_test.go
+++ b/internal/lab/virtual/common_test.go
@@ -40,6 +40,9 @@
 		t.Errorf("as it is: %d plans, %d of %d crossed, %d and %d offered", plain.Plans, plain.Crossed, plain.Pushes,
 			plain.Offered, calm.Offered)
 	}
+	if m := calm.Held; m.Digests < 12*5*15 || m.Digests > 12*5*16 || calm.Led.Merged < 2*10*15 || calm.Led.Merged > 2*10*16 {
+		t.Errorf("12 gateways and two voters, five and ten messages a second for 16 s: %+v, leader %+v", m, calm.Led)
+	}
 	lost := play(t, threeHalls(world.All, lostHall(0, 4*time.Second, 6*time.Second)), 1, baseline.Module)
 	if len(lost.PlanMs) != 4 || slices.Max(lost.PlanMs) > 2000 || lost.Wrong > 0 {
 		t.Errorf("gateways left after %v ms; %d wrong", lost.PlanMs, lost.Wrong)
--- a/internal/lab/virtual/follow.go
+++ b/internal/lab/virtual/follow.go
@@ -108,6 +108,7 @@
 	v := c.voters[f.voter]
 	if !v.dead && c.send(f.g.hall, v.hall, func() {
 		if !v.dead {
+			c.count(v, func(m *Messages) *int { return &m.Digests })
 			v.direct.Take(d)
 		}
 	}) {
--- a/internal/lab/virtual/result.go
+++ b/internal/lab/virtual/result.go
@@ -35,6 +35,8 @@
 	// a whole hall until a gateway that pushed there pushed elsewhere, or until the hall came back.
 	Plans, Wrong int
 	PlanMs       []int
+	// Held is what came to the voters in all, and to the one that led.
+	Held, Led Messages
 
 	Calls, CallsRefused       int
 	Units, Beyond, BeyondGain float64
@@ -63,6 +65,11 @@
 		s.Gain - was.Gain, s.Due - was.Due, s.Pushes - was.Pushes, s.Crossed - was.Crossed}
 }
 
+// Messages are what voters take from gateways, and from each other.
+type Messages struct {
+	Digests, Merged, Reads int
+}
+
 // Ends are the requests that failed, by what ended them.
 type Ends struct {
 	Between    int // their time ran out between tries, the last of which was rejected
--- a/internal/lab/virtual/voter.go
+++ b/internal/lab/virtual/voter.go
@@ -42,6 +42,7 @@
 		Counts: v.direct.Sums()}
 	v.c.send(v.hall, leader.hall, func() {
 		if !leader.dead {
+			v.c.count(leader, func(m *Messages) *int { return &m.Merged })
 			leader.merged.Take(d)
 		}
 	})
@@ -82,6 +83,7 @@
 	if v.dead {
 		return
 	}
+	v.c.count(v, func(m *Messages) *int { return &m.Reads })
 	if v.entry.Epoch > r.known || !v.confirmed() {
 		v.finish(r)
 		return
