--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -14,7 +13,7 @@
 
 // may tells that a hall's tasks may move for any reason. Those of a hall whose gateways tell nothing stay: nobody knows
 // what they do.
-func (s *situation) may(f int) bool { return s.view.heard[f] && s.rest[f] <= s.now }
+func (s *situation) may(f int) bool { return s.view.settled() && s.view.heard[f] && s.rest[f] <= s.now }
 
 // lay gives the rows of the next plan, what they shed and which of them moved. A row that it is not worth to move stays;
 // then the others are laid out anew around it.
@@ -23,10 +22,8 @@
 	moved, shed = make([]bool, n), make([]int, n)
 	rows = make([][]int, n)
 	for f, hall := range s.halls {
-		moved[f] = s.cur == nil || s.must(f) || s.may(f)
-		if s.cur != nil {
-			rows[f], shed[f] = s.cur[f], s.plan.Shed[hall]
-		}
+		moved[f] = s.must(f) || s.may(f)
+		rows[f], shed[f] = s.cur[f], s.plan.Shed[hall]
 	}
 	for again := true; again; {
 		again = false
@@ -37,8 +34,9 @@
 				continue
 			}
 			row, over := thousandths(out[f], left[f], f)
-			if s.bears[f] > 0 && !s.shut[f][f] && k.loads[f] >= k.most*k.bears[f]*(1-rounding) {
-				over = s.full(f, row[f]) // the hall is full, no more: the module sheds
+			others := k.loads[f] - out[f][f]
+			if s.bears[f] > 0 && !s.shut[f][f] && k.loads[f] >= k.most*k.bears[f]*(1-rounding) && others < tinyDemand {
+				over = s.full(f, row[f]) // the hall is full, no more, and of its own tasks alone: the module sheds
 			}
 			if s.worth(f, row, over) {
 				rows[f], shed[f] = row, over
@@ -53,9 +51,6 @@
 
 // full is what of a full hall's share of its own tasks is rejected at once all the same: what comes back by more than a step.
 func (s *situation) full(f, share int) int {
-	if s.cur == nil {
-		return 0
-	}
 	return max(share-int((s.share[f][f]+s.terms.Step)*whole), 0)
 }
 
@@ -67,13 +62,11 @@
 	for f := range n {
 		low, high := make([]float64, n), make([]float64, n)
 		k.trial[f] = s.trial(f) * s.demand[f]
-		k.lift[f] = s.cur == nil || s.plan.Shed[s.halls[f]] == 0
+		k.lift[f] = s.plan.Shed[s.halls[f]] == 0
 		for t := range n {
 			is, flee := s.share[f][t]*s.demand[f], s.bad[f][t]
 			step := is + s.terms.Step*s.demand[f]
 			switch {
-			case s.cur == nil:
-				high[t] = math.Inf(1)
 			case !s.must(f):
 				high[t] = step
 			case s.may(f) && t == f && !flee:
@@ -104,9 +97,6 @@
 
 // worth tells that a row is to move: it flees from what is lost or pushed over, a trial begins, or enough tasks move.
 func (s *situation) worth(f int, row []int, shed int) bool {
-	if s.cur == nil {
-		return true
-	}
 	most := 0.0
 	for t, share := range row {
 		is := s.share[f][t] * whole
@@ -128,7 +118,7 @@
 // write makes the plan of the rows.
 func (s *situation) write(rows [][]int, shed []int, moved []bool) *Plan {
 	p := &Plan{Rows: map[string]map[string]int{}, Sound: map[string]int{}, Shed: map[string]int{},
-		Alone: s.alone(), Why: map[string]string{}}
+		Alone: s.alone(), Why: map[string]string{}, Demand: map[string]uint64{}}
 	for f, from := range s.halls {
 		row := map[string]int{}
 		for t, to := range s.halls {
@@ -139,14 +129,14 @@
 				p.Shut = append(p.Shut, [2]string{from, to})
 			}
 		}
-		p.Rows[from] = row
+		p.Rows[from], p.Demand[from] = row, uint64(s.demand[f]*1000)
 		p.Sound[from] = int(math.Round(s.quarters[f] * whole / witness.Sound))
 		if shed[f] > 0 {
 			p.Shed[from] = shed[f]
 		}
-		if moved[f] && s.cur != nil {
+		if moved[f] {
 			p.Why[from] = s.why(f)
-		} else if s.plan != nil && s.plan.Why[from] != "" {
+		} else if s.plan.Why[from] != "" {
 			p.Why[from] = s.plan.Why[from]
 		}
 	}
@@ -163,7 +153,7 @@
 		switch {
 		case !s.bad[f][t]:
 		case s.shut[f][t]:
-			all = append(all, fmt.Sprintf("the link to %s is lost", to))
+			all = append(all, to+" is out of reach, though not of others")
 		case s.bears[t] <= 0:
 			all = append(all, to+" is lost")
 		default:
