--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -35,7 +35,8 @@
 // Story is what goes wrong in a world, in place of what its file says.
 type Story struct {
 	Name     string          `toml:"name"`
-	Load     float64         `toml:"load"` // times the world's; 0: as it is
+	Load     float64         `toml:"load"`   // times the world's; 0: as it is
+	Length   world.Span      `toml:"length"` // 0: the world's
 	Troubles []world.Trouble `toml:"trouble"`
 	// Drawn is how many troubles are drawn for each seed besides, none of which loses a hall or cuts it off.
 	Drawn int `toml:"drawn"`
--- a/internal/lab/experiment/story.go
+++ b/internal/lab/experiment/story.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"harrierhoist/internal/lab/world"
 )
@@ -53,6 +54,9 @@
 	if s.Load > 0 {
 		c.Load.Rate *= s.Load
 	}
-	c.Troubles = append(append([]world.Trouble(nil), s.Troubles...), Day(w, seed, s.Drawn)...)
+	if s.Length > 0 {
+		c.Length = s.Length
+	}
+	c.Troubles = append(slices.Clone(s.Troubles), Day(&c, seed, s.Drawn)...)
 	return &c
 }
