--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -34,15 +34,18 @@
 }
 
 func root() *cobra.Command {
-	c := &cobra.Command{Use: "hoistlab", Short: "the laboratory of harrierhoist: emulated servers, load, experiments, reports",
+	c := &cobra.Command{Use: "hoistlab",
+		Short:        "the laboratory of harrierhoist: emulated servers, load, experiments, reports",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(checkCommand(), runCommand(), compareCommand(), reportCommand(), searchCommand(), sizeCommand(), loadCommand(),
+	c.AddCommand(checkCommand(), runCommand(), compareCommand(), reportCommand(), searchCommand(), sizeCommand(),
+		loadCommand(),
 		emulateCommand(), demoCommand(), troublesCommand(), gatewayCommand())
 	return c
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{Use: "check WORLD.toml...", Short: "check world files: every error, with its line and column", Args: cobra.MinimumNArgs(1),
+	return &cobra.Command{Use: "check WORLD.toml...", Short: "check world files: every error, with its line and column",
+		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			var all []error
 			for _, f := range files {
@@ -51,7 +54,8 @@
 					all = append(all, err)
 					continue
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%s: %s: %d gateways, %d servers, %g tasks a second for %v, %d troubles\n", f, w.Name, w.Gateways.Count,
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %s: %d gateways, %d servers, %g tasks a second for %v, %d troubles\n", f,
+					w.Name, w.Gateways.Count,
 					w.Servers.Count, w.Load.Rate, w.Length.D(), len(w.Troubles))
 			}
 			return errors.Join(all...)
@@ -60,8 +64,9 @@
 
 func searchCommand() *cobra.Command {
 	tries, most, seed, out, policy := 0, 0, uint64(0), "", ""
-	c := &cobra.Command{Use: "search WORLD.toml", Short: "look for the schedule of troubles that breaks a rule or loses most, and shrink it",
-		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+	c := &cobra.Command{Use: "search WORLD.toml",
+		Short: "look for the schedule of troubles that breaks a rule or loses most, and shrink it",
+		Args:  cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
 			w, err := world.Read(args[0])
 			if err != nil {
 				return err
@@ -81,7 +86,8 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "worst of %d plays: loses %.3f, rules broken %d, %d troubles left, %d taken out\n", f.Plays, f.Loss, f.Line.Broken,
+			fmt.Fprintf(cmd.OutOrStdout(), "worst of %d plays: loses %.3f, rules broken %d, %d troubles left, %d taken out\n",
+				f.Plays, f.Loss, f.Line.Broken,
 				len(f.World.Troubles), f.Shrunk)
 			for _, t := range f.World.Troubles {
 				fmt.Fprintf(cmd.OutOrStdout(), "  %s at %v for %v, part %g, size %g\n", t.Kind, t.At.D(), t.For.D(), t.Part, t.Size)
@@ -105,13 +111,15 @@
 func sizeCommand() *cobra.Command {
 	var sizes []int
 	seconds := 10
-	c := &cobra.Command{Use: "size WORLD.toml", Short: "how fast plays go, and what they cost, from few gateways to thousands", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "size WORLD.toml",
+		Short: "how fast plays go, and what they cost, from few gateways to thousands", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			w, err := world.Read(args[0])
 			if err != nil {
 				return err
 			}
-			fmt.Fprintln(cmd.OutOrStdout(), "| gateways | servers | tasks a second offered | policy | tries | wall s | tries a wall second | memory MB |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
+			fmt.Fprintln(cmd.OutOrStdout(),
+				"| gateways | servers | tasks a second offered | policy | tries | wall s | tries a wall second | memory MB |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
 			for _, n := range sizes {
 				for _, policy := range []string{"module", "random"} {
 					s := experiment.Sized(w, n)
@@ -126,7 +134,8 @@
 					var m runtime.MemStats
 					runtime.ReadMemStats(&m)
 					tries := l.Tries * s.Load.Rate * s.Length.D().Seconds()
-					fmt.Fprintf(cmd.OutOrStdout(), "| %d | %d | %.0f | %s | %.0f | %.2f | %.0f | %.0f |\n", n, s.Servers.Count, s.Load.Rate, policy, tries, wall,
+					fmt.Fprintf(cmd.OutOrStdout(), "| %d | %d | %.0f | %s | %.0f | %.2f | %.0f | %.0f |\n", n, s.Servers.Count,
+						s.Load.Rate, policy, tries, wall,
 						tries/wall, float64(m.HeapSys)/1e6)
 				}
 			}
@@ -140,7 +149,8 @@
 func loadCommand() *cobra.Command {
 	var gateways []string
 	rate, length, file, seed := 0.0, 10*time.Second, "", uint64(1)
-	c := &cobra.Command{Use: "load", Short: "drive running gateways at a given rate, open loop; Ctrl-C ends it with its report", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "load",
+		Short: "drive running gateways at a given rate, open loop; Ctrl-C ends it with its report", Args: cobra.NoArgs,
 		Example: "  hoistlab load --gateway 127.0.0.1:6379 --rate 200 --for 30s",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			w, err := world.Parse("the default world", nil)
@@ -171,15 +181,17 @@
 }
 
 func troublesCommand() *cobra.Command {
-	return &cobra.Command{Use: "troubles", Short: "the troubles by name", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
-		for _, name := range world.KindNames() {
-			fmt.Fprintf(cmd.OutOrStdout(), "%-18s %s\n", name, world.Kinds[name].What)
-		}
-	}}
+	return &cobra.Command{Use: "troubles", Short: "the troubles by name", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			for _, name := range world.KindNames() {
+				fmt.Fprintf(cmd.OutOrStdout(), "%-18s %s\n", name, world.Kinds[name].What)
+			}
+		}}
 }
 
 // gatewayCommand is a gateway of the laboratory's own, as a process: the demo starts some.
 func gatewayCommand() *cobra.Command {
-	return &cobra.Command{Use: "gateway CONFIG.json", Short: "run one gateway, as harrierhoist does", Args: cobra.ExactArgs(1), Hidden: true,
+	return &cobra.Command{Use: "gateway CONFIG.json", Short: "run one gateway, as harrierhoist does",
+		Args: cobra.ExactArgs(1), Hidden: true,
 		RunE: func(_ *cobra.Command, args []string) error { return daemon.Run(args[0]) }}
 }
--- a/cmd/hoistlab/results.go
+++ b/cmd/hoistlab/results.go
@@ -17,7 +17,8 @@
 func runCommand() *cobra.Command {
 	out, workers, seeds := "", 0, 0
 	var gateways []int
-	c := &cobra.Command{Use: "run PLAN.toml", Short: "play a plan in virtual time: worlds x sizes x variants x seeds", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "run PLAN.toml", Short: "play a plan in virtual time: worlds x sizes x variants x seeds",
+		Args:    cobra.ExactArgs(1),
 		Example: "  hoistlab run lab/plans/baselines.toml --out results.jsonl",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			p, err := experiment.ReadPlan(args[0])
@@ -36,7 +37,8 @@
 			}
 			defer os.Remove(file.Name())
 			err = p.Run(workers, file, func(n, of int, l *experiment.Line) {
-				fmt.Fprintf(cmd.ErrOrStderr(), "%d of %d: %s, %d gateways, %s, seed %d: service %.3f, net %.3f, %.1fs\n", n, of, l.World, l.Gateways,
+				fmt.Fprintf(cmd.ErrOrStderr(), "%d of %d: %s, %d gateways, %s, seed %d: service %.3f, net %.3f, %.1fs\n", n, of,
+					l.World, l.Gateways,
 					l.Variant, l.Seed, l.Service, l.Net, l.Wall)
 			})
 			if err := errors.Join(err, file.Close()); err != nil {
@@ -63,8 +65,10 @@
 
 func compareCommand() *cobra.Command {
 	var variants []string
-	c := &cobra.Command{Use: "compare A.jsonl [B.jsonl]", Short: "pair two sets of results by world, size and seed: means, 95% intervals, what is noise",
-		Args: cobra.RangeArgs(1, 2), Example: "  hoistlab compare before.jsonl after.jsonl\n  hoistlab compare results.jsonl --variants even,module",
+	c := &cobra.Command{Use: "compare A.jsonl [B.jsonl]",
+		Short:   "pair two sets of results by world, size and seed: means, 95% intervals, what is noise",
+		Args:    cobra.RangeArgs(1, 2),
+		Example: "  hoistlab compare before.jsonl after.jsonl\n  hoistlab compare results.jsonl --variants even,module",
 		RunE: func(cmd *cobra.Command, files []string) error {
 			a, err := experiment.ReadLines(files[0])
 			if err != nil {
@@ -103,7 +107,8 @@
 
 func reportCommand() *cobra.Command {
 	dir := ""
-	c := &cobra.Command{Use: "report RESULTS.jsonl...", Short: "write tables (Markdown) and charts (SVG) of results", Args: cobra.MinimumNArgs(1),
+	c := &cobra.Command{Use: "report RESULTS.jsonl...", Short: "write tables (Markdown) and charts (SVG) of results",
+		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			var all []*experiment.Line
 			for _, f := range files {
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -64,7 +64,8 @@
 		t.Fatal(err)
 	}
 	s := Sized(w, 300)
-	if s.Servers.Count != 200 || s.Load.Rate != 7000 || s.Plans[0].Customers != 2000 || s.Counter.Rate != 9000 || w.Plans[0].Customers != 200 {
+	if s.Servers.Count != 200 || s.Load.Rate != 7000 || s.Plans[0].Customers != 2000 || s.Counter.Rate != 9000 ||
+		w.Plans[0].Customers != 200 {
 		t.Errorf("%d servers, %g tasks a second, %d customers", s.Servers.Count, s.Load.Rate, s.Plans[0].Customers)
 	}
 	if s := Sized(w, 1); s.Gateways.Halls != 1 || s.Servers.Count < 1 {
@@ -73,7 +74,8 @@
 }
 
 func TestAWrongPlanIsRefused(t *testing.T) {
-	for _, text := range []string{"worlds = []", "worlds = [\"a.toml\"]\nseeds = 0", "worlds=[\"a.toml\"]\n[[variant]]\npolicy=\"magic\"",
+	for _, text := range []string{"worlds = []", "worlds = [\"a.toml\"]\nseeds = 0",
+		"worlds=[\"a.toml\"]\n[[variant]]\npolicy=\"magic\"",
 		"worlds=[\"a.toml\"]\nspeed = 3", "worlds=[\"a.toml\"]\ngateways=[0]"} {
 		file := filepath.Join(t.TempDir(), "p.toml")
 		_ = os.WriteFile(file, []byte(text), 0o600)
--- a/internal/lab/experiment/line.go
+++ b/internal/lab/experiment/line.go
@@ -27,7 +27,7 @@
 	Beyond   float64          `json:"beyond"`  // part of the units sent on that were beyond quotas
 	Refused  float64          `json:"refused"` // part of the requests
 	Failed   float64          `json:"failed"`
-	Between  float64          `json:"failed_between"`    // of the requests, as all that failed are: their time ran out between rejected tries
+	Between  float64          `json:"failed_between"`    // time ran out after a rejected try
 	Ended    float64          `json:"failed_terminated"` // the last try was terminated
 	Died     float64          `json:"failed_died"`       // the last try ended with its gateway
 	Out      float64          `json:"failed_out"`        // their time ran out while a try was out
@@ -39,7 +39,7 @@
 	Held     virtual.Messages `json:"held"`              // what came to voters
 	Led      virtual.Messages `json:"led"`               // to the one that led
 	Length   float64          `json:"length_s"`          // of the world
-	Hottest  float64          `json:"hottest"`           // work sent to a whole hall in a second over its strength, at its highest
+	Hottest  float64          `json:"hottest"`           // highest utilisation of a whole hall in a second
 	Warmest  float64          `json:"warmest"`           // the same over five seconds
 	Tries    float64          `json:"tries"`             // a request
 	Calls    float64          `json:"calls"`             // to the counter, a request
@@ -86,9 +86,12 @@
 	l := &Line{World: w.Name, Gateways: w.Gateways.Count, Servers: w.Servers.Count, Variant: policy, Seed: seed,
 		Build:   Build(),
 		Service: r.Service(), Net: r.Net(), Beyond: r.Beyond / max(r.Units, 1e-9), Refused: part(r.Refused, r.Offered),
-		Failed: part(r.Failed, r.Offered), Between: part(r.Ends.Between, r.Offered), Ended: part(r.Ends.Terminated, r.Offered),
+		Failed: part(r.Failed, r.Offered), Between: part(r.Ends.Between, r.Offered), Ended: part(r.Ends.Terminated,
+			r.Offered),
 		Died: part(r.Ends.Died, r.Offered), Out: part(r.Ends.Out, r.Offered), Crossed: part(r.Crossed, r.Pushes),
-		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Warmest: r.Warmest, Plans: r.Plans, Wrong: r.Wrong, PlanMs: r.PlanMs, Held: r.Held, Led: r.Led, Length: w.Length.D().Seconds(), Tries: part(r.Tries, r.Offered), Calls: part(r.Calls, r.Offered),
+		Far: part(r.Far, r.Pushes), Hottest: r.Hottest, Warmest: r.Warmest, Plans: r.Plans, Wrong: r.Wrong,
+		PlanMs: r.PlanMs, Held: r.Held, Led: r.Led, Length: w.Length.D().Seconds(), Tries: part(r.Tries, r.Offered),
+		Calls:  part(r.Calls, r.Offered),
 		Shakes: part(r.Handshakes, r.Pushes), Uneven: r.Uneven, P50: r.P50, P99: r.P99, P999: r.P999, Lanes: r.Lanes,
 		Seconds: r.Seconds, Troubles: w.Troubles, Wall: time.Since(began).Seconds()}
 	for _, n := range r.Broken {
--- a/internal/lab/experiment/story.go
+++ b/internal/lab/experiment/story.go
@@ -37,7 +37,8 @@
 	for range n {
 		m := mild[chance.IntN(len(mild))]
 		at, long, part, size := chance.Float64(), chance.Float64(), chance.Float64(), chance.Float64()
-		t := world.Trouble{Kind: m.kind, At: world.Span(float64(length) * (0.1 + 0.6*at)), For: world.Span(float64(length) * (0.05 + 0.25*long)),
+		t := world.Trouble{Kind: m.kind, At: world.Span(float64(length) * (0.1 + 0.6*at)),
+			For:  world.Span(float64(length) * (0.05 + 0.25*long)),
 			Part: m.part * part, Size: m.size * size}
 		if m.size > 1 {
 			t.Size = max(t.Size, 1)
--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -34,7 +34,8 @@
 		byWorld[key] = append(byWorld[key], g)
 	}
 	for _, key := range order {
-		for name, draw := range map[string]func([][]*experiment.Line) (*plot.Plot, error){"service": overTime, "times": times, "units": units} {
+		for name, draw := range map[string]func([][]*experiment.Line) (*plot.Plot, error){"service": overTime,
+			"times": times, "units": units} {
 			p, err := draw(byWorld[key])
 			if err != nil {
 				return nil, err
@@ -158,7 +159,8 @@
 			order = append(order, key)
 		}
 		most[g[0].Gateways] = true
-		by[key] = append(by[key], plotter.XY{X: float64(g[0].Gateways), Y: meanOf(g, func(l *experiment.Line) float64 { return l.Net })})
+		by[key] = append(by[key], plotter.XY{X: float64(g[0].Gateways), Y: meanOf(g,
+			func(l *experiment.Line) float64 { return l.Net })})
 	}
 	if len(most) < 2 {
 		return nil, nil
--- a/internal/lab/report/failover.go
+++ b/internal/lab/report/failover.go
@@ -22,7 +22,9 @@
 			continue
 		}
 		if !begun {
-			fmt.Fprintln(out, "| world | gateways | variant | plays | plans | wrong | gateways moved | ms p50 | ms p99 | digests/s | at the leader | reads/s | at the leader | merged/s there |")
+			fmt.Fprintln(out,
+				"| world | gateways | variant | plays | plans | wrong | gateways moved | ms p50 | ms p99 "+
+					"| digests/s | at the leader | reads/s | at the leader | merged/s there |")
 			fmt.Fprintln(out, strings.Repeat("| --- ", 14)+"|")
 			begun = true
 		}
@@ -31,7 +33,8 @@
 		if n := len(ms); n > 0 {
 			p50, p99 = fmt.Sprint(ms[(n-1)/2]), fmt.Sprint(ms[(n-1)*99/100])
 		}
-		fmt.Fprintf(out, "| %s | %d | %s | %d | %d | %d | %d | %s | %s | %.0f | %.0f | %.0f | %.0f | %.0f |\n", g[0].World, g[0].Gateways, g[0].Variant, len(g), plans,
+		fmt.Fprintf(out, "| %s | %d | %s | %d | %d | %d | %d | %s | %s | %.0f | %.0f | %.0f | %.0f | %.0f |\n", g[0].World,
+			g[0].Gateways, g[0].Variant, len(g), plans,
 			wrong, len(ms), p50, p99, rate(g, func(l *experiment.Line) int { return l.Held.Digests }),
 			rate(g, func(l *experiment.Line) int { return l.Led.Digests }),
 			rate(g, func(l *experiment.Line) int { return l.Held.Reads }),
--- a/internal/lab/virtual/common.go
+++ b/internal/lab/virtual/common.go
@@ -12,7 +12,8 @@
 	"harrierhoist/internal/lab/world"
 )
 
-// common is what the processes hold in common, played: voters in halls, one of which leads and decides, and the messages
+// common is what the processes hold in common, played: voters in halls, one of which leads and decides, and the
+// messages
 // between them and the gateways. Deciders, witnesses, evidence and plans are those of the program; the log is a drawn
 // time. It has chance of its own, so that the world is the same with it and without.
 type common struct {
--- a/internal/lab/virtual/common_test.go
+++ b/internal/lab/virtual/common_test.go
@@ -36,11 +36,13 @@
 	if part := float64(calm.Crossed) / float64(calm.Pushes); part > 0.02 || calm.Wrong > 0 {
 		t.Errorf("calm: %.3f between halls, %d wrong", part, calm.Wrong)
 	}
-	if plain.Plans != 0 || plain.Crossed*3 < plain.Pushes || plain.Offered != calm.Offered || plain.GainDue != calm.GainDue {
+	if plain.Plans != 0 || plain.Crossed*3 < plain.Pushes || plain.Offered != calm.Offered ||
+		plain.GainDue != calm.GainDue {
 		t.Errorf("as it is: %d plans, %d of %d crossed, %d and %d offered", plain.Plans, plain.Crossed, plain.Pushes,
 			plain.Offered, calm.Offered)
 	}
-	if m := calm.Held; m.Digests < 12*5*15 || m.Digests > 12*5*16 || calm.Led.Merged < 2*10*15 || calm.Led.Merged > 2*10*16 {
+	if m := calm.Held; m.Digests < 12*5*15 || m.Digests > 12*5*16 || calm.Led.Merged < 2*10*15 ||
+		calm.Led.Merged > 2*10*16 {
 		t.Errorf("12 gateways and two voters, five and ten messages a second for 16 s: %+v, leader %+v", m, calm.Led)
 	}
 	lost := play(t, threeHalls(world.All, lostHall(0, 4*time.Second, 6*time.Second)), 1, baseline.Module)
--- a/internal/lab/virtual/follow.go
+++ b/internal/lab/virtual/follow.go
@@ -103,8 +103,9 @@
 	}
 	f.steer.Step() // it may see its own hall with other eyes
 	f.serial++
-	d := evidence.Digest{Process: fmt.Sprint("g", f.n), Incarnation: uint64(f.g.life), Serial: f.serial, Session: f.session,
-		Counts: counts}
+	d := evidence.Digest{Process: fmt.Sprint("g", f.n), Incarnation: uint64(f.g.life), Serial: f.serial,
+		Session: f.session,
+		Counts:  counts}
 	v := c.voters[f.voter]
 	if !v.dead && c.send(f.g.hall, v.hall, func() {
 		if !v.dead {
--- a/internal/lab/virtual/gateway.go
+++ b/internal/lab/virtual/gateway.go
@@ -43,7 +43,8 @@
 	e := g.e
 	g.life++
 	g.alive = true
-	g.list, g.tries, g.wakes, g.conns = map[uint32]policy.Listed{}, map[uint32]*try{}, map[uint64]*wake{}, map[uint32]*conns{}
+	g.list, g.tries, g.wakes, g.conns = map[uint32]policy.Listed{}, map[uint32]*try{}, map[uint64]*wake{},
+		map[uint32]*conns{}
 	kept := time.Duration(0)
 	if e.w.Gateways.Pool {
 		kept = e.w.Servers.Idle.D() / 2
@@ -130,7 +131,8 @@
 		return
 	}
 	g.d.Take(e.now, policy.Task{ID: t.local, Lane: t.lane, Plan: r.customer.plan, Customer: r.customer.id,
-		First: r.customer.first, Width: r.customer.width, Units: r.told, Expires: t.expires, Repeat: t.number > 0 && e.w.Clients.Marks})
+		First: r.customer.first, Width: r.customer.width, Units: r.told, Expires: t.expires, Repeat: t.number > 0 &&
+			e.w.Clients.Marks})
 }
 
 // kill ends a gateway; what it held is its clients' to repeat, and its servers go on with what they have.
--- a/internal/lab/virtual/trouble_test.go
+++ b/internal/lab/virtual/trouble_test.go
@@ -49,19 +49,29 @@
 		"link_cut":      {world.Trouble{Hall: 1, To: 0}, fewerInTime},
 		"blind":         {world.Trouble{Part: 0.4}, fewerInTime},
 		// Who leads is felt where a plan is wanted: with a hall lost meanwhile, gateways go on pushing there.
-		"leader_lost":      {world.Trouble{}, func(p pair) bool { return sum(p.with.PlanMs) > sum(p.without.PlanMs)+500 }},
-		"answers_lost":     {world.Trouble{Part: 0.3}, moreFailed},
-		"resets":           {world.Trouble{Part: 0.3}, moreFailed},
-		"counter_slow":     {world.Trouble{Size: 100}, func(p pair) bool { return p.with.CallsRefused > p.without.CallsRefused+20 }},
+		"leader_lost":  {world.Trouble{}, func(p pair) bool { return sum(p.with.PlanMs) > sum(p.without.PlanMs)+500 }},
+		"answers_lost": {world.Trouble{Part: 0.3}, moreFailed},
+		"resets":       {world.Trouble{Part: 0.3}, moreFailed},
+		"counter_slow": {world.Trouble{Size: 100},
+			func(p pair) bool { return p.with.CallsRefused > p.without.CallsRefused+20 }},
 		"counter_silent":   {world.Trouble{}, func(p pair) bool { return p.with.Calls < p.without.Calls*9/10 }},
 		"counter_refusing": {world.Trouble{}, func(p pair) bool { return p.with.CallsRefused > p.without.CallsRefused+20 }},
 		"counter_empty":    {world.Trouble{}, func(p pair) bool { return p.with.Beyond > p.without.Beyond }},
 		"counter_split":    {world.Trouble{}, func(p pair) bool { return p.with.Beyond > p.without.Beyond }},
-		"burst":            {world.Trouble{Size: 3}, func(p pair) bool { return during(p.with, 3, 7, offered) > 2*during(p.without, 3, 7, offered) }},
-		"flood":            {world.Trouble{Size: 8, Plan: "start"}, func(p pair) bool { return during(p.with, 3, 7, offered) > 2*during(p.without, 3, 7, offered) }},
-		"kill":             {world.Trouble{Part: 1}, func(p pair) bool { return during(p.with, 3, 7, inTime) < during(p.without, 3, 7, inTime)/5 }},
-		"rolling":          {world.Trouble{Part: 1, Size: 2}, func(p pair) bool { return p.with.Broken0 > p.without.Broken0+20 }},
-		"standstill":       {world.Trouble{Part: 1}, func(p pair) bool { return during(p.with, 3, 7, inTime) < during(p.without, 3, 7, inTime)/5 }},
+		"burst": {world.Trouble{Size: 3}, func(p pair) bool {
+			return during(p.with, 3, 7, offered) > 2*during(p.without, 3, 7, offered)
+		}},
+		"flood": {world.Trouble{Size: 8, Plan: "start"}, func(p pair) bool {
+			return during(p.with, 3, 7, offered) > 2*during(p.without, 3, 7, offered)
+		}},
+		"kill": {world.Trouble{Part: 1}, func(p pair) bool {
+			return during(p.with, 3, 7, inTime) < during(p.without, 3, 7, inTime)/5
+		}},
+		"rolling": {world.Trouble{Part: 1, Size: 2},
+			func(p pair) bool { return p.with.Broken0 > p.without.Broken0+20 }},
+		"standstill": {world.Trouble{Part: 1}, func(p pair) bool {
+			return during(p.with, 3, 7, inTime) < during(p.without, 3, 7, inTime)/5
+		}},
 		// Lists alone hurt nobody: with half of the servers gone meanwhile, those who do not hear of it go on pushing there.
 		"list_lag":  {world.Trouble{Size: 20}, fewerInTime},
 		"list_lost": {world.Trouble{Part: 1}, fewerInTime},
@@ -80,7 +90,8 @@
 				also = append(also, world.Trouble{Kind: "mass_change", At: span(3500 * time.Millisecond), Part: 0.5})
 			}
 			if kind == "leader_lost" {
-				also = append(also, world.Trouble{Kind: "hall_lost", At: span(3 * time.Second), For: span(4 * time.Second), Hall: 1})
+				also = append(also, world.Trouble{Kind: "hall_lost", At: span(3 * time.Second), For: span(4 * time.Second),
+					Hall: 1})
 			}
 			world := func(troubles ...world.Trouble) *world.World {
 				w := small(troubles...)
@@ -97,9 +108,12 @@
 			}
 			without := play(t, world(also...), 5, baseline.Module)
 			if p := (pair{play(t, world(append(also, s.trouble)...), 5, baseline.Module), without}); !s.shows(p) {
-				t.Errorf("not seen: plan %v %v, in time %d with and %d without, failed or refused %d and %d, offered %d and %d, beyond %.0f and %.0f, calls %d and %d",
-					p.with.PlanMs, p.without.PlanMs, during(p.with, 3, 8, inTime), during(p.without, 3, 8, inTime), during(p.with, 3, 9, failed), during(p.without, 3, 9, failed),
-					during(p.with, 3, 7, offered), during(p.without, 3, 7, offered), p.with.Beyond, p.without.Beyond, p.with.Calls, p.without.Calls)
+				t.Errorf("not seen: plan %v %v, in time %d with and %d without, failed or refused %d and %d, offered %d and %d, "+
+					"beyond %.0f and %.0f, calls %d and %d",
+					p.with.PlanMs, p.without.PlanMs, during(p.with, 3, 8, inTime), during(p.without, 3, 8, inTime),
+					during(p.with, 3, 9, failed), during(p.without, 3, 9, failed),
+					during(p.with, 3, 7, offered), during(p.without, 3, 7, offered), p.with.Beyond, p.without.Beyond, p.with.Calls,
+					p.without.Calls)
 			}
 		})
 	}
--- a/internal/lab/world/regions.go
+++ b/internal/lab/world/regions.go
@@ -3,7 +3,8 @@
 // hallsMost is the most halls of a world: more than any installation has.
 const hallsMost = 64
 
-// RegionOf gives the region of each hall, from 0. A hall that the file names in no region, as it names none, is of region 0.
+// RegionOf gives the region of each hall, from 0. A hall that the file names in no region, as it names none, is of
+// region 0.
 func (w *World) RegionOf() []int {
 	of := make([]int, w.Gateways.Halls)
 	for region, halls := range w.Gateways.Regions {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -36,19 +36,20 @@
 	Seed   uint64 `toml:"seed"`   // of all chance; a run may override it
 	Length Span   `toml:"length"` // in which tasks are offered; answers are waited for after it
 
-	Gateways  Gateways       `toml:"gateways"`
-	Servers   Servers        `toml:"servers"`
-	Lanes     []Lane         `toml:"lane"`
-	Plans     []Plan         `toml:"plan"`
-	Load      Load           `toml:"load"`
-	Clients   Clients        `toml:"clients"`
-	Counter   Counter        `toml:"counter"`
-	Discovery Discovery      `toml:"discovery"`
-	Network   Network        `toml:"network"`
-	Rules     Rules          `toml:"rules"`
-	Common    Common         `toml:"common"`
-	Failover  failover.Terms `toml:"failover"` // regions are those of the gateways; bears, at 0, is what servers are made to
-	Troubles  []Trouble      `toml:"trouble"`
+	Gateways  Gateways  `toml:"gateways"`
+	Servers   Servers   `toml:"servers"`
+	Lanes     []Lane    `toml:"lane"`
+	Plans     []Plan    `toml:"plan"`
+	Load      Load      `toml:"load"`
+	Clients   Clients   `toml:"clients"`
+	Counter   Counter   `toml:"counter"`
+	Discovery Discovery `toml:"discovery"`
+	Network   Network   `toml:"network"`
+	Rules     Rules     `toml:"rules"`
+	Common    Common    `toml:"common"`
+	// Failover names no regions, as they are the gateways'; bears, at 0, is what servers are made to.
+	Failover failover.Terms `toml:"failover"`
+	Troubles []Trouble      `toml:"trouble"`
 }
 
 // Gateways are the machines under test.
