--- a/internal/lab/virtual/engine.go
+++ b/internal/lab/virtual/engine.go
@@ -40,7 +40,8 @@
 	lagTimes    float64
 	answersLost float64
 	resets      float64
-	cut         map[int]bool    // halls cut off from the others
+	cut         map[int]bool // halls cut off from the others
+	crowded     *crowd
 	links       map[[2]int]bool // pairs of halls, the lower first, between which nothing passes
 	regions     []int           // of each hall
 	sent        []time.Duration // work sent to each hall in this second
--- a/internal/lab/virtual/tries.go
+++ b/internal/lab/virtual/tries.go
@@ -49,6 +49,9 @@
 		}
 		g = e.gateways[(who.first+c.draw.IntN(who.width))%len(e.gateways)]
 	}
+	if through := e.crowded.through(c); through != nil {
+		g = through
+	}
 	c.nextTry++
 	t := &try{id: c.nextTry, request: r, gateway: g, lane: r.lane, number: number, expires: expires, cost: r.units}
 	e.result.Tries++
--- a/internal/lab/virtual/trouble.go
+++ b/internal/lab/virtual/trouble.go
@@ -23,6 +23,7 @@
 	"mass_change":   func(t world.Trouble) trouble { return &massChange{part: t.Part} },
 	"hall_lost":     func(t world.Trouble) trouble { return &serversLost{hall: t.Hall, whole: true, part: t.Part} },
 	"link_cut":      func(t world.Trouble) trouble { return &linkCut{[2]int{min(t.Hall, t.To), max(t.Hall, t.To)}} },
+	"crowd":         func(t world.Trouble) trouble { return &crowd{hall: t.Hall, part: t.Part} },
 	"blind":         func(t world.Trouble) trouble { return &blind{part: t.Part} },
 	"hall_cut":      func(t world.Trouble) trouble { return &hallCut{t.Hall} },
 	"leader_lost":   func(world.Trouble) trouble { return &leaderLost{} },
--- a/internal/lab/virtual/trouble_gateways.go
+++ b/internal/lab/virtual/trouble_gateways.go
@@ -54,6 +54,32 @@
 
 func (t *rolling) end(*engine) {}
 
+// crowd has a part of the tries come through one hall's gateways.
+type crowd struct {
+	hall int
+	part float64
+}
+
+func (t *crowd) begin(e *engine) { e.crowded = t }
+func (t *crowd) end(e *engine) {
+	if e.crowded == t {
+		e.crowded = nil
+	}
+}
+
+// through draws a gateway for a try where one hall is crowded; nil: it goes its own way.
+func (t *crowd) through(c *clients) *gateway {
+	if t == nil || c.draw.Float64() >= t.part {
+		return nil
+	}
+	halls := c.e.w.Gateways.Halls
+	there := (len(c.e.gateways) - t.hall + halls - 1) / halls
+	if there <= 0 {
+		return nil
+	}
+	return c.e.gateways[c.draw.IntN(there)*halls+t.hall]
+}
+
 // blind has gateways that reach no server: what they send is lost on the way.
 type blind struct {
 	part float64
--- a/internal/lab/virtual/trouble_test.go
+++ b/internal/lab/virtual/trouble_test.go
@@ -69,6 +69,9 @@
 		}},
 		"rolling": {world.Trouble{Part: 1, Size: 2},
 			func(p pair) bool { return p.with.Broken0 > p.without.Broken0+20 }},
+		"crowd": {world.Trouble{Part: 0.9, Hall: 1}, func(p pair) bool {
+			return p.with.Hottest > 1.25*p.without.Hottest
+		}},
 		"standstill": {world.Trouble{Part: 1}, func(p pair) bool {
 			return during(p.with, 3, 7, inTime) < during(p.without, 3, 7, inTime)/5
 		}},
@@ -96,7 +99,7 @@
 			world := func(troubles ...world.Trouble) *world.World {
 				w := small(troubles...)
 				w.Load.Rate = 300
-				if kind == "leader_lost" {
+				if kind == "leader_lost" || kind == "crowd" { // a gateway as it is pushes to all halls
 					w.Common.How = "common"
 				}
 				if kind == "counter_empty" || kind == "counter_split" { // counts matter to those near their limits
--- a/internal/lab/world/kinds.go
+++ b/internal/lab/world/kinds.go
@@ -36,6 +36,7 @@
 	"counter_split":    {What: "each half of the gateways has a counter; after it the first half's is for all", Counter: true},
 	"burst":            {What: "size times the load"},
 	"flood":            {What: "size times the load of one plan"},
+	"crowd":            {What: "part of the tries come through the gateways of one hall, whatever their customers' own", Halls: true},
 	"kill":             {What: "part of the gateways are killed at once and start again after the time"},
 	"rolling":          {What: "part of the gateways are restarted in turn over the time, each away for size seconds"},
 	"standstill":       {What: "part of the gateways stand still for the time"},
