--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -57,6 +57,7 @@
 	giveUp  context.CancelFunc // of the push that is out
 	units   float64
 	over    bool
+	counted *Counted // nil: under its customer alone
 }
 
 // Admit takes a task. It is carried by calling Pick until that is final.
@@ -70,8 +71,13 @@
 		return e
 	}
 	g.errands[e.id] = e
-	g.module.Take(now, policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
-		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat})
+	task := policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
+		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat}
+	if g.counting != nil {
+		g.byRule(now, e, t, task)
+		return e
+	}
+	g.module.Take(now, task)
 	return e
 }
 
@@ -86,6 +92,9 @@
 	if w := e.g.outside.Witness; w != nil {
 		w.Ended(now, e.hall, e.server, r.Outcome, now-e.at)
 	}
+	if e.counted != nil {
+		r = e.counted.weigh(r)
+	}
 	if r.Outcome == policy.Answered {
 		e.end()
 	}
@@ -106,6 +115,9 @@
 func (e *Errand) end() {
 	e.over = true
 	delete(e.g.errands, e.id)
+	if e.counted != nil && e.counted.Over != nil {
+		e.counted.Over(e.pushes > 0, e.counted.billed)
+	}
 }
 
 func (e *Errand) close(c Choice) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,6 +56,9 @@
 	watch  chan struct{}
 	report int // how many figures a load report has
 
+	counting Counting          // nil: every task counts under its customer
+	site     policy.Deployment // as last given, without what counting adds
+
 	until time.Duration // when the steering ends that is in force
 	after *Steering     // what follows it; nil: it has no end
 
@@ -77,8 +80,8 @@
 	start := time.Now()
 	g := &Gate{outside: outside, log: log, start: start, origin: time.Duration(start.UnixNano()),
 		errands: map[uint32]*Errand{}, servers: map[uint32]Server{}, numbers: map[string]uint32{}, asked: map[uint64]*wake{},
-		pool:  pool.New(site.Me, site.Gateways, outside.Kept),
-		alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1)}
+		pool: pool.New(site.Me, site.Gateways, outside.Kept),
+		site: site, alarm: time.NewTimer(time.Hour), watch: make(chan struct{}, 1)}
 	g.sized(&site)
 	var err error
 	g.module, err = policy.New(site, seed, host{g})
@@ -90,12 +93,24 @@
 func (g *Gate) Reshape(site policy.Deployment) (policy.Deployment, error) {
 	now := g.enter()
 	defer g.leave()
+	return g.reshape(now, site)
+}
+
+func (g *Gate) reshape(now time.Duration, site policy.Deployment) (policy.Deployment, error) {
+	given := site
+	if g.counting != nil {
+		site = g.counting.Plans(site)
+	}
 	site, err := g.module.Reshape(now, site)
 	if err != nil {
 		return site, err
 	}
+	g.site = given
 	g.pool.Resize(site.Me, site.Gateways)
 	g.sized(&site)
+	if g.counting != nil {
+		site = g.counting.Shaped(site)
+	}
 	g.hand(now, policy.ListWhole)
 	return site, nil
 }
