--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -64,7 +64,8 @@
 		t.Fatal(err)
 	}
 	s := Sized(w, 300)
-	if s.Servers.Count != 200 || s.Load.Rate != 7000 || s.Plans[0].Customers != 2000 || s.Counter.Rate != 9000 || w.Plans[0].Customers != 200 {
+	if s.Servers.Count != 200 || s.Load.Rate != 7000 || s.Plans[0].Customers != 2000 || s.Counter.Rate != 9000 ||
+		w.Plans[0].Customers != 200 {
 		t.Errorf("%d servers, %g tasks a second, %d customers", s.Servers.Count, s.Load.Rate, s.Plans[0].Customers)
 	}
 	if s := Sized(w, 1); s.Gateways.Halls != 1 || s.Servers.Count < 1 {
@@ -73,7 +74,8 @@
 }
 
 func TestAWrongPlanIsRefused(t *testing.T) {
-	for _, text := range []string{"worlds = []", "worlds = [\"a.toml\"]\nseeds = 0", "worlds=[\"a.toml\"]\n[[variant]]\npolicy=\"magic\"",
+	for _, text := range []string{"worlds = []", "worlds = [\"a.toml\"]\nseeds = 0",
+		"worlds=[\"a.toml\"]\n[[variant]]\npolicy=\"magic\"",
 		"worlds=[\"a.toml\"]\nspeed = 3", "worlds=[\"a.toml\"]\ngateways=[0]"} {
 		file := filepath.Join(t.TempDir(), "p.toml")
 		_ = os.WriteFile(file, []byte(text), 0o600)
@@ -82,3 +84,26 @@
 		}
 	}
 }
+
+// Drawn days stand for days without a lost hall: they must be sound worlds, and hold nothing that loses or cuts one.
+func TestDrawnDaysLoseNoHall(t *testing.T) {
+	w, err := world.Read("../../../lab/worlds/three.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := Story{Name: "day", Drawn: 3, Load: 1.5}
+	for seed := range uint64(100) {
+		day := s.told(w, seed)
+		if err := day.Check("day"); err != nil {
+			t.Fatal(err)
+		}
+		for _, tr := range day.Troubles {
+			if world.Kinds[tr.Kind].Halls {
+				t.Errorf("seed %d has %s", seed, tr.Kind)
+			}
+		}
+	}
+	if w.Load.Rate != 470 || len(w.Troubles) != 0 {
+		t.Error("the world itself was changed")
+	}
+}
