--- /dev/null
+++ b/internal/debts/guard.go
@@ -0,0 +1,74 @@
+package debts
+
+import (
+	"math"
+	"time"
+
+	"harrierhoist/internal/cluster/evidence"
+)
+
+// Names of evidence, all counted by gateways since their start. Sums of units are in thousandths.
+const (
+	ours   = "debts"
+	tasks  = "tasks"  // by partner: its tasks that were first tries and are over
+	late   = "late"   // by partner: of these, those late or without an answer
+	pure   = "pure"   // by partner: units of its pure tasks' first pushes
+	pures  = "pures"  // by partner: their number
+	served = "served" // by owner: units that its servers answered
+	asked  = "asked"  // by debtor: first pushes that were to go to its servers to settle
+	went   = "went"   // by debtor: of these, those that did
+)
+
+// Count makes the name of an evidence count of this package.
+func Count(what, partner string) string { return evidence.Name(ours, what, partner) }
+
+const (
+	fadeOver  = 60 * time.Second // how far back a partner's tasks are weighed: longer tells smaller losses from chance
+	baseLeast = 200              // tasks seen before a settlement, for each partner: fewer tell nothing of its service
+	sure      = 2.0              // standard errors by which a loss must stand out before all is steered back
+	likely    = 1.0              // the same before the pace is halved
+	holdFor   = 30_000           // ms for which a partner is then left alone: longer than a queue lasts
+	paceFirst = Whole / 4        // the pace at which a settlement begins
+	paceEvery = 3 * time.Second  // between changes of pace: what a change does is seen by then
+	paceMore  = 1.5              // per change, while nobody is worse off
+	askedMin  = 50               // pushes asked for before it is judged how many found room
+	wentLeast = 0.5              // part of these that must have found room
+)
+
+// tally is what was seen of a partner's tasks, fading.
+type tally struct{ tasks, late float64 }
+
+func (t *tally) add(tasks, late float64, passed time.Duration) {
+	keep := math.Exp(-float64(passed) / float64(fadeOver))
+	t.tasks, t.late = t.tasks*keep+tasks, t.late*keep+late
+}
+
+// harm is how bad it is for a partner: nothing, likely, sure.
+type harm uint8
+
+const (
+	harmless harm = iota
+	harmLikely
+	harmSure
+)
+
+// judge compares what a partner has while debts are settled with what it had before. It guards against a settlement
+// that pushes over those who lend or those whose tasks go far. Harm: a day that turns bad for another reason stops
+// the settlement too; and with few tasks a loss is taken for chance until more are seen.
+func judge(base Standing, seen tally, lossMost float64) harm {
+	if seen.tasks < 1 || base.Tasks < 1 {
+		return harmless
+	}
+	part := base.Late / base.Tasks
+	excess := seen.late - part*seen.tasks
+	// A partner of which nothing was late has been seen late in less than one of its tasks.
+	chance := max(part, 1/base.Tasks)
+	spread := math.Sqrt(seen.tasks * chance * (1 - min(chance, 0.999)) * (1 + seen.tasks/base.Tasks))
+	switch {
+	case excess > lossMost*seen.tasks+sure*spread:
+		return harmSure
+	case excess > lossMost/2*seen.tasks+likely*spread:
+		return harmLikely
+	}
+	return harmless
+}
--- /dev/null
+++ b/internal/debts/steer.go
@@ -0,0 +1,121 @@
+package debts
+
+import (
+	"slices"
+
+	"harrierhoist/internal/cluster"
+)
+
+// steer works out the shares. A debtor's servers take tasks of its creditor: each is then owed by the creditor, and the
+// net debt falls by it. That it fell is seen in the totals alone.
+func (d *Decider) steer(now time.Duration, seen cluster.Seen, was Value, next *Value) {
+	begins := len(was.Shares) == 0
+	if len(d.looks) <= rateBeats {
+		next.Shares = was.Shares // a new leader has no rates yet
+		if begins {
+			next.Shares = nil
+		}
+		return
+	}
+	if next.Clock < next.Rest {
+		return
+	}
+	if !begins && next.Clock >= next.Began+episode {
+		next.Rest = next.Clock + rest
+		return
+	}
+	shut := d.shut(seen)
+	if begins {
+		d.base(next)
+	}
+	weights := d.terms.weights()
+	var pairs []Pair
+	var flows []Flow
+	rates := map[string]float64{} // units a second that a creditor has to move
+	for _, n := range next.Nets {
+		settle, shareMost, _ := d.terms.rule(n.Debtor, n.Creditor)
+		least := d.terms.Least * 1000
+		if was.share(n.Pair) == 0 {
+			least *= 2 // so that it does not begin and end in turn
+		}
+		a, b := next.standing(n.Debtor), next.standing(n.Creditor)
+		if !settle || weights[n.Debtor] == 0 || weights[n.Creditor] == 0 || float64(n.Sum) < least ||
+			shut[n.Debtor] || shut[n.Creditor] || !d.fit(a, next.Clock) || !d.fit(b, next.Clock) {
+			continue
+		}
+		has := d.rate(pure, n.Creditor)
+		rates[n.Creditor] = has
+		pace := float64(min(a.Pace, b.Pace)) / Whole
+		want := min(float64(n.Sum)/d.terms.SettleOver, shareMost*has) * pace
+		pairs, flows = append(pairs, n.Pair), append(flows, Flow{want, weights[n.Creditor]})
+	}
+	if len(flows) == 0 {
+		return
+	}
+	for i, x := range Fair(flows, d.limits(pairs, rates)) {
+		if has := rates[pairs[i].Creditor]; has > 0 {
+			if part := uint64(x / has * Whole); part > 0 {
+				next.Shares = append(next.Shares, Share{pairs[i], part})
+			}
+		}
+	}
+	if begins && len(next.Shares) > 0 {
+		next.Began = next.Clock
+	}
+}
+
+// fit tells whether a partner may have a part: it is not on hold, and was seen to be served well without a settlement.
+func (d *Decider) fit(s Standing, clock uint64) bool {
+	return clock >= s.Hold && s.Tasks >= baseLeast && s.Late <= (1-d.terms.WellLeast)*s.Tasks
+}
+
+// base takes down how partners fare without a settlement. A leader that has seen too little begins none.
+func (d *Decider) base(next *Value) {
+	for _, p := range d.terms.Partners {
+		s := next.standing(p.Name)
+		s.Tasks, s.Late = 0, 0
+		if seen := d.calm[p.Name]; seen != nil {
+			s.Tasks, s.Late = seen.tasks, seen.late
+		}
+		next.stands(s)
+	}
+}
+
+// shut gives the partners that failover needs whole: one of their halls is out, or has too little left.
+func (d *Decider) shut(seen cluster.Seen) map[string]bool {
+	all := map[string]bool{}
+	if d.halls == nil {
+		return all
+	}
+	halls := d.halls(seen)
+	for _, p := range d.terms.Partners {
+		all[p.Name] = slices.ContainsFunc(p.Halls, func(name string) bool {
+			h, known := halls[name]
+			return known && (h.Out || h.Left >= 0 && h.Left < d.terms.RoomLeast)
+		})
+	}
+	return all
+}
+
+// limits are what the flows of the pairs share, in thousandths of units a second: what a debtor's halls lend, what a
+// creditor's tasks bear, and the pushes between halls.
+func (d *Decider) limits(pairs []Pair, rates map[string]float64) []Limit {
+	far := Limit{Most: d.terms.MovedMost, Each: make([]float64, len(pairs))}
+	lends, bears := map[string]*Limit{}, map[string]*Limit{}
+	var all []Limit
+	for _, p := range d.terms.Partners {
+		lends[p.Name] = &Limit{d.terms.LendMost * d.rate(served, p.Name), make([]float64, len(pairs))}
+		bears[p.Name] = &Limit{d.terms.ShareMost * rates[p.Name], make([]float64, len(pairs))}
+	}
+	for i, p := range pairs {
+		if has := rates[p.Creditor]; has > 0 {
+			far.Each[i] = d.rate(pures, p.Creditor) / has
+		}
+		lends[p.Debtor].Each[i], bears[p.Creditor].Each[i] = 1, 1
+	}
+	for _, p := range d.terms.Partners {
+		all = append(all, *lends[p.Name], *bears[p.Name])
+	}
+	return append(all, far)
+}
+
