What is exact in an earlier life of a process is kept until the log has it

A process that died and was back within the second between two commits of exact totals lost what its earlier life had counted since, and a digest of that life that came late was dropped. Debts must count each exactly once. The book now keeps the exact counts of up to four earlier lives of a process and gives them with the others; the log takes the larger of what it is told, so none counts twice. Shown by TestWhatIsExactInAnEarlierLifeIsKept.

--- a/internal/cluster/evidence/evidence.go
+++ b/internal/cluster/evidence/evidence.go
@@ -4,6 +4,7 @@
 package evidence
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -42,21 +43,35 @@
 // have counted what came before; it adds what later ones have more. Not safe for use by several goroutines at once.
 type Book struct {
 	lives map[string]*life // the latest of each process
+	past  map[string][]*life
 	sums  map[string]uint64
 }
 
+// pastMost is how many earlier lives of a process are kept for what is exact in them: what the latest of these had
+// counted may not be in the log yet, and its last digests may still be on their way.
+const pastMost = 4
+
 // NewBook makes an empty book.
-func NewBook() *Book { return &Book{lives: map[string]*life{}, sums: map[string]uint64{}} }
+func NewBook() *Book {
+	return &Book{lives: map[string]*life{}, past: map[string][]*life{}, sums: map[string]uint64{}}
+}
 
-// Take takes a digest and tells whether it was news: a late or doubled one, or one of an earlier life, is none.
+// Take takes a digest and tells whether it was news: a late or doubled one, or one of an earlier life, is none; what is
+// exact in one of an earlier life counts all the same.
 // A count that a digest has less of than an earlier one of the same life is taken as it stood.
 func (b *Book) Take(d Digest) (news bool) {
 	l := b.lives[d.Process]
 	switch {
 	case l == nil || d.Incarnation > l.incarnation:
+		if l != nil {
+			b.earlier(d.Process, l)
+		}
 		b.lives[d.Process] = &life{d.Incarnation, d.Session, d.Serial, maps.Clone(d.Counts), maps.Clone(d.Exact)}
 		return true
-	case d.Incarnation < l.incarnation || d.Serial <= l.serial || d.Session < l.session:
+	case d.Incarnation < l.incarnation:
+		b.earlier(d.Process, &life{incarnation: d.Incarnation, serial: d.Serial, exact: maps.Clone(d.Exact)})
+		return false
+	case d.Serial <= l.serial || d.Session < l.session:
 		return false
 	}
 	if d.Session > l.session {
@@ -73,6 +88,18 @@
 	return true
 }
 
+// earlier keeps what is exact in an earlier life.
+func (b *Book) earlier(process string, l *life) {
+	past := b.past[process]
+	i, found := slices.BinarySearchFunc(past, l.incarnation, func(o *life, n uint64) int { return cmp.Compare(o.incarnation, n) })
+	if found {
+		past[i].serial, past[i].exact = max(past[i].serial, l.serial), raise(past[i].exact, l.exact)
+		return
+	}
+	past = slices.Insert(past, i, l)
+	b.past[process] = past[max(0, len(past)-pastMost):]
+}
+
 // raise gives the larger of each count.
 func raise(was, now map[string]uint64) map[string]uint64 {
 	if was == nil {
@@ -87,11 +114,14 @@
 // Sums are what was counted by all since the book began, by name. The map is the caller's.
 func (b *Book) Sums() map[string]uint64 { return maps.Clone(b.sums) }
 
-// Exact are the exact counts of the latest life of each process, in the order of their names.
+// Exact are the exact counts of each process in its latest lives, in the order of their names, earlier lives first.
 func (b *Book) Exact() []Digest {
 	var all []Digest
 	for _, name := range slices.Sorted(maps.Keys(b.lives)) {
-		if l := b.lives[name]; len(l.exact) > 0 {
+		for _, l := range append(slices.Clone(b.past[name]), b.lives[name]) {
+			if len(l.exact) == 0 {
+				continue
+			}
 			all = append(all, Digest{Process: name, Incarnation: l.incarnation, Serial: l.serial, Exact: maps.Clone(l.exact)})
 		}
 	}
@@ -99,4 +129,7 @@
 }
 
 // Forget drops a process that has not been heard of for long. A digest of the same life begins anew.
-func (b *Book) Forget(process string) { delete(b.lives, process) }
+func (b *Book) Forget(process string) {
+	delete(b.lives, process)
+	delete(b.past, process)
+}
--- a/internal/cluster/evidence/evidence_test.go
+++ b/internal/cluster/evidence/evidence_test.go
@@ -75,3 +75,22 @@
 		t.Errorf("got %q", p)
 	}
 }
+
+// A process died and was back before the log had what its earlier life owed; and that life's last digest came later
+// still. Both were dropped: what is exact counts in every life.
+func TestWhatIsExactInAnEarlierLifeIsKept(t *testing.T) {
+	b := NewBook()
+	b.Take(digest(1, 100))
+	again := digest(1, 5)
+	again.Incarnation = 8
+	b.Take(again)
+	b.Take(digest(3, 130)) // late, of the life before
+	b.Take(digest(2, 120)) // later still
+	e := b.Exact()
+	if len(e) != 2 || e[0].Incarnation != 7 || e[0].Exact["owed"] != 130 || e[1].Exact["owed"] != 5 {
+		t.Errorf("exact %+v", e)
+	}
+	if b.Sums()["pushes"] != 0 {
+		t.Errorf("sums %v", b.Sums())
+	}
+}
