--- a/internal/debts/guard.go
+++ b/internal/debts/guard.go
@@ -7,20 +7,27 @@
 	"harrierhoist/internal/cluster/evidence"
 )
 
-// Names of evidence, all counted by gateways since their start. Sums of units are in thousandths.
+// What is a kind of evidence, counted for each partner by gateways since their start. Units are in thousandths.
+type What int
+
+// The kinds of evidence.
 const (
-	ours   = "debts"
-	tasks  = "tasks"  // by partner: its tasks that were first tries and are over
-	late   = "late"   // by partner: of these, those late or without an answer
-	pure   = "pure"   // by partner: units of its pure tasks' first pushes
-	pures  = "pures"  // by partner: their number
-	served = "served" // by owner: units that its servers answered
-	asked  = "asked"  // by debtor: first pushes that were to go to its servers to settle
-	went   = "went"   // by debtor: of these, those that did
+	Tasks  What = iota // the partner's tasks that were first tries, were pushed and are over
+	Late               // of these, those late or without an answer
+	Pure               // units of its pure tasks' first pushes
+	Pures              // their number
+	Served             // units that its servers answered, whosesoever
+	Asked              // first pushes of others that were to go to its servers to settle
+	Went               // of these, those that did
+	Whats              // how many kinds there are
 )
 
+const ours = "debts" // the first part of each name
+
+var whats = [Whats]string{"tasks", "late", "pure", "pures", "served", "asked", "went"}
+
 // Count makes the name of an evidence count of this package.
-func Count(what, partner string) string { return evidence.Name(ours, what, partner) }
+func Count(what What, partner string) string { return evidence.Name(ours, whats[what], partner) }
 
 const (
 	fadeOver  = 60 * time.Second // how far back a partner's tasks are weighed: longer tells smaller losses from chance
--- a/internal/debts/ledger.go
+++ b/internal/debts/ledger.go
@@ -31,6 +31,12 @@
 	Sum uint64 `cbor:"3,keyasint"`
 }
 
+// Carried is what a process in one life of its ledger counted.
+type Carried struct {
+	Amount
+	Life string `cbor:"4,keyasint"`
+}
+
 // Name names an exact count: what a process in one life of its ledger has counted that a debtor owes a creditor. A
 // ledger kept on disk lives on with its process's next incarnation.
 func Name(life string, p Pair) string { return evidence.Name(owe, life, p.Debtor, p.Creditor) }
--- a/internal/debts/roll.go
+++ b/internal/debts/roll.go
@@ -53,6 +53,9 @@
 	return r.halls[hall]
 }
 
+// Halls is how many halls there are.
+func (r *Roll) Halls() int { return len(r.halls) }
+
 // Number is a partner's, by name; 0 where the file has none of that name.
 func (r *Roll) Number(name string) int {
 	if name == "" {
--- a/internal/debts/settle.go
+++ b/internal/debts/settle.go
@@ -89,7 +89,7 @@
 	next.Shares = nil
 	if d.terms.On {
 		d.pace(now, was, &next)
-		d.steer(now, seen, was, &next)
+		d.steer(seen, was, &next)
 	}
 	if !d.worth(now, was, next) {
 		return nil, false
@@ -114,7 +114,7 @@
 	if n := len(d.looks); n > 0 {
 		before := d.looks[n-1]
 		for _, p := range d.terms.Partners {
-			grown := func(what string) float64 {
+			grown := func(what What) float64 {
 				return float64(l.sums[Count(what, p.Name)] - min(before.sums[Count(what, p.Name)], l.sums[Count(what, p.Name)]))
 			}
 			to := d.tried
@@ -127,7 +127,7 @@
 			if to[p.Name] == nil {
 				to[p.Name] = &tally{}
 			}
-			to[p.Name].add(grown(tasks), grown(late), now-before.at)
+			to[p.Name].add(grown(Tasks), grown(Late), now-before.at)
 		}
 	}
 	d.at, d.looks = now, append(d.looks, l)
@@ -135,7 +135,7 @@
 }
 
 // rate is a count's growth a second.
-func (d *Decider) rate(what, partner string) float64 {
+func (d *Decider) rate(what What, partner string) float64 {
 	first, last := d.looks[0], d.looks[len(d.looks)-1]
 	a, b := first.sums[Count(what, partner)], last.sums[Count(what, partner)]
 	if b <= a || last.at <= first.at {
@@ -160,7 +160,7 @@
 		}
 		s := next.standing(p.Name)
 		how := judge(s, *d.tried[p.Name], d.terms.LossMost)
-		if a := d.rate(asked, p.Name); how == harmless && a*rateOver > askedMin && d.rate(went, p.Name) < wentLeast*a {
+		if a := d.rate(Asked, p.Name); how == harmless && a*rateOver > askedMin && d.rate(Went, p.Name) < wentLeast*a {
 			how = harmLikely // no room there, as the gateways find
 		}
 		switch how {
--- a/internal/debts/steer.go
+++ b/internal/debts/steer.go
@@ -8,7 +8,7 @@
 
 // steer works out the shares. A debtor's servers take tasks of its creditor: each is then owed by the creditor, and the
 // net debt falls by it. That it fell is seen in the totals alone.
-func (d *Decider) steer(now time.Duration, seen cluster.Seen, was Value, next *Value) {
+func (d *Decider) steer(seen cluster.Seen, was Value, next *Value) {
 	begins := len(was.Shares) == 0
 	if len(d.looks) <= rateBeats {
 		next.Shares = was.Shares // a new leader has no rates yet
@@ -43,7 +43,7 @@
 			shut[n.Debtor] || shut[n.Creditor] || !d.fit(a, next.Clock) || !d.fit(b, next.Clock) {
 			continue
 		}
-		has := d.rate(pure, n.Creditor)
+		has := d.rate(Pure, n.Creditor)
 		rates[n.Creditor] = has
 		pace := float64(min(a.Pace, b.Pace)) / Whole
 		want := min(float64(n.Sum)/d.terms.SettleOver, shareMost*has) * pace
@@ -104,12 +104,12 @@
 	lends, bears := map[string]*Limit{}, map[string]*Limit{}
 	var all []Limit
 	for _, p := range d.terms.Partners {
-		lends[p.Name] = &Limit{d.terms.LendMost * d.rate(served, p.Name), make([]float64, len(pairs))}
+		lends[p.Name] = &Limit{d.terms.LendMost * d.rate(Served, p.Name), make([]float64, len(pairs))}
 		bears[p.Name] = &Limit{d.terms.ShareMost * rates[p.Name], make([]float64, len(pairs))}
 	}
 	for i, p := range pairs {
 		if has := rates[p.Creditor]; has > 0 {
-			far.Each[i] = d.rate(pures, p.Creditor) / has
+			far.Each[i] = d.rate(Pures, p.Creditor) / has
 		}
 		lends[p.Debtor].Each[i], bears[p.Creditor].Each[i] = 1, 1
 	}
@@ -118,4 +118,3 @@
 	}
 	return append(all, far)
 }
-
--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"harrierhoist/internal/debts/till"
 	"harrierhoist/policy"
 )
 
@@ -55,6 +56,7 @@
 	at      time.Duration
 	giveUp  context.CancelFunc // of the push that is out
 	over    bool
+	claim   *till.Claim // what it owes; nil: nothing is kept of it
 }
 
 // Admit takes a task. It is carried by calling Pick until that is final.
@@ -67,8 +69,11 @@
 	g.latest++
 	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
 	g.errands[e.id] = e
-	g.module.Take(now, policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
-		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat})
+	task := policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
+		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat}
+	e.claim = g.till.Enter(now, task)
+	task.Prefer = e.claim.Prefer()
+	g.module.Take(now, task)
 	return e
 }
 
@@ -80,6 +85,7 @@
 	now := e.g.enter()
 	defer e.g.leave()
 	e.giveUp()
+	e.claim.Back(now, r.Outcome, r.Billed)
 	if r.Outcome == policy.Answered {
 		e.end()
 	}
@@ -104,6 +110,7 @@
 
 func (e *Errand) close(c Choice) {
 	e.end()
+	e.claim.Ended(c.Verdict == Left)
 	e.choices <- c
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"harrierhoist/internal/debts/till"
 	"harrierhoist/internal/pool"
 	"harrierhoist/policy"
 )
@@ -42,6 +43,7 @@
 	latest  uint32
 	servers map[uint32]Server // those listed, by the module's number
 	pool    *pool.Pool        // which of them the module is handed
+	till    *till.Till        // what tasks owe; nil: nothing is kept
 	numbers map[string]uint32 // by name
 	named   uint32            // the latest number; none is used twice
 
@@ -85,6 +87,7 @@
 		return site, err
 	}
 	g.pool.Resize(site.Me, site.Gateways)
+	g.till.Resite(site.Lanes, site.Plans)
 	g.report = len(site.Reports)
 	g.hand(now, policy.ListWhole)
 	return site, nil
--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -17,6 +17,7 @@
 	e.pushes++
 	e.server, e.at = server, g.now()
 	g.pool.Pushed(e.at)
+	e.claim.Sent(g.servers[server].Listed.Hall)
 	c := Choice{Verdict: Push, Server: g.servers[server], Until: g.start.Add(until - g.origin)}
 	c.Wanted, e.giveUp = context.WithCancel(context.Background())
 	e.choices <- c
--- a/internal/gate/list.go
+++ b/internal/gate/list.go
@@ -66,6 +66,7 @@
 		all = append(all, pool.Server{Mark: s.mark, Listed: s.Listed})
 	}
 	part, sharers := g.pool.Part(now, all)
+	part = g.till.Elect(g.pool, now, part, all)
 	if kind == policy.ListChanges {
 		kind = policy.ListWhole
 	}
--- a/policy/course.go
+++ b/policy/course.go
@@ -10,7 +10,8 @@
 // (nil: to any at all) and whether it may be rejected. It guards the rule that no effect happens twice.
 func (j *job) may(now time.Duration, to *server, site *Deployment) (push, reject bool) {
 	ran := slices.IndexFunc(j.pushes, func(s sent) bool { return !s.idle }) // the first that may have run
-	push = !j.over && len(j.pushes) < site.PushLimit && (!j.isOut() || site.TwoAtOnce)
+	push = !j.over && len(j.pushes) < site.PushLimit && (!j.isOut() || site.TwoAtOnce) &&
+		(to == nil || !to.Elective || j.elects(to))
 	if ran < 0 || j.row.Effect == Pure {
 		return push, true
 	}
@@ -23,6 +24,19 @@
 	return push && same && now < first.at+j.row.Window, j.row.Group == GroupAll
 }
 
+// elects tells whether a task is to go to a server to settle what its owner owes: its first push, if no harm is done.
+func (j *job) elects(s *server) bool {
+	return j.Prefer != 0 && j.Prefer == s.Owner && len(j.pushes) == 0 && j.row.Effect == Pure && s.warmth(s.now) >= 1
+}
+
+// elected gives the servers that a task is to go to to settle; all, where none has room or the fleet is pressed.
+func (f *fleet) elected(j *job, well []*server) []*server {
+	if j.Prefer != 0 && slices.ContainsFunc(well, j.elects) && f.calm() >= 1 {
+		return slices.DeleteFunc(well, func(s *server) bool { return !j.elects(s) })
+	}
+	return well
+}
+
 // course is a task's way after its pushes: what follows an outcome, the final answer.
 type course struct {
 	*Gateway
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -65,7 +65,7 @@
 func (f *fleet) warm() int {
 	n := 0
 	for _, s := range f.up {
-		if s.warmth(s.now) >= 1 {
+		if s.warmth(s.now) >= 1 && !s.Elective {
 			n++
 		}
 	}
@@ -212,6 +212,7 @@
 	}); len(fresh) > 0 {
 		well = fresh
 	}
+	well = f.elected(j, well)
 	switch {
 	case len(f.up) == 0:
 		return nil, j.soft
--- a/policy/host.go
+++ b/policy/host.go
@@ -129,6 +129,10 @@
 	Cell   int
 	Hall   int
 	Kind   int
+	// Owner is whose it is, where tasks may prefer its servers (Task.Prefer); 0: nobody's. Elective servers take only the
+	// first pushes of pure tasks that prefer their owner.
+	Owner    int
+	Elective bool
 }
 
 // Task is what a client asks.
@@ -142,6 +146,7 @@
 	Units    float64
 	Expires  time.Duration // when the client gives this try up
 	Repeat   bool
+	Prefer   int // the owner whose servers the first push of a pure task goes to, if one there has room; 0: none
 }
 
 // Push tells how a push ended.
