--- a/internal/debts/till/run.go
+++ b/internal/debts/till/run.go
@@ -38,7 +38,7 @@
 func (l *Till) Run(ctx context.Context, commons cluster.Commons, gate Settler, disk Disk, log *zap.Logger) {
 	written := make(chan struct{})
 	if disk != nil {
-		l.load(disk)
+		l.Load(disk)
 		go func() {
 			defer close(written)
 			l.write(ctx, disk, log)
@@ -134,8 +134,8 @@
 	}
 }
 
-// load goes on from what the disk holds. What was out when the process died may have run, and is owed as told.
-func (l *Till) load(disk Disk) {
+// Load goes on from what the disk holds, before the first task. What was out when the process died may have run, and is owed as told.
+func (l *Till) Load(disk Disk) {
 	life, kept := disk.Life()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,11 +160,11 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = l.put(disk)
+			_ = l.Put(disk)
 			return
 		case <-l.kick:
 		}
-		if err := l.put(disk); err != nil {
+		if err := l.Put(disk); err != nil {
 			log.Error("the disk keeps no debts any more: what is counted from here on is lost with the process", zap.Error(err))
 			l.part()
 			return
@@ -173,8 +173,8 @@
 	}
 }
 
-// put writes the counts, and has them told once they are written.
-func (l *Till) put(disk Disk) error {
+// Put writes the counts, and has them told once they are written; Run does so after each change.
+func (l *Till) Put(disk Disk) error {
 	l.mu.Lock()
 	life := l.life
 	var kept []Kept
