--- a/internal/debts/play/common.go
+++ b/internal/debts/play/common.go
@@ -166,14 +166,24 @@
 		t.at(at+leaderLost, t.lead)
 	}
 	for at := 5 * time.Second; t.Deaths && at < t.end(); at += time.Duration(5+t.chance.IntN(20)) * time.Second {
-		t.at(at, func() { t.start(t.gateways[t.chance.IntN(len(t.gateways))]) })
+		t.at(at, func() {
+			t.deaths++
+			t.start(t.gateways[t.chance.IntN(len(t.gateways))])
+		})
 	}
 }
 
 // look checks each second what must always hold.
 func (t *table) look() {
 	v, _ := debts.Decode(t.state.Table(debts.Table).Value)
-	nets := debts.Read(t.totals(debts.Exact)).Nets(v.Forgiven)
+	has := debts.Read(t.totals(debts.Exact))
+	nets := has.Nets(v.Forgiven)
+	for p, owed := range t.had {
+		if has[p] < owed {
+			t.wrong("%v: %d owed, and %d a second before", p, has[p], owed)
+		}
+	}
+	t.had = has
 	sum, open := int64(0), uint64(0)
 	for _, b := range debts.Balances(nets) {
 		sum += b
@@ -211,6 +221,11 @@
 			t.result.Lost += owed - told
 		}
 	}
+	// A process that dies without a disk loses what it counted since its latest digest that came, and what is out.
+	each := t.Rate / float64(t.Gateways) * meanUnits * 1000 * lostOver.Seconds()
+	if most := float64(t.deaths) * each; t.Disks && t.result.Lost > 0 || float64(t.result.Lost) > most {
+		t.wrong("%d lost in %d deaths", t.result.Lost, t.deaths)
+	}
 	truth := debts.Ledger(t.truth).Nets(nil)
 	if shown := has.Nets(v.Forgiven); t.Terms.ForgiveAfter == 0 && t.result.Lost == 0 && !slices.Equal(truth, shown) {
 		t.wrong("open: %v, truly %v", shown, truth)
--- a/internal/debts/play/play.go
+++ b/internal/debts/play/play.go
@@ -25,7 +25,8 @@
 	commitAt   = time.Second
 	leaseFor   = 2 * time.Second
 	meanUnits  = 2.0
-	nearRoom   = soft / 4 // a hall whose queue is longer has no room for tasks that settle
+	nearRoom   = soft / 4        // a hall whose queue is longer has no room for tasks that settle
+	lostOver   = 4 * time.Second // digests lost in a row, a leader lost, and the longest that pushes are out
 	leaderLost = 1500 * time.Millisecond
 )
 
@@ -57,6 +58,8 @@
 	away     time.Duration // no leader until then
 	heard    map[string]uint64
 	truth    map[debts.Pair]uint64
+	had      debts.Ledger // a second before
+	deaths   int
 	tries    [2][]int // after the outage: first tries, in time
 	moved    int
 	result   Result
@@ -69,10 +72,13 @@
 	t.tries = [2][]int{make([]int, w.Partners), make([]int, w.Partners)}
 	t.result.Settled = -1
 	for i := range w.Partners {
-		p := &t.Terms.Partners[i]
+		p, servers := &t.Terms.Partners[i], w.Servers
+		if i == 0 && w.Weak > 0 {
+			servers = w.Weak
+		}
 		t.names = append(t.names, p.Name)
 		t.site.Halls = append(t.site.Halls, p.Halls[0])
-		t.halls = append(t.halls, make([]time.Duration, w.Servers))
+		t.halls = append(t.halls, make([]time.Duration, servers))
 	}
 	t.site.Plans = []string{"plan"}
 	t.site.Lanes = []policy.Lane{{SoftLimit: soft, Patience: patience, Effect: policy.Pure},
--- a/internal/debts/play/world.go
+++ b/internal/debts/play/world.go
@@ -15,6 +15,7 @@
 	Rate     float64       // tasks a second of each partner
 	Pure     float64       // part of them that are pure
 	Servers  int           // in each hall; each does one task at a time
+	Weak     int           // servers in the first hall, if others than in the rest
 	Calm     time.Duration // before the first partner's hall is lost
 	Out      time.Duration // how long it is lost
 	After    time.Duration
--- a/internal/debts/settle.go
+++ b/internal/debts/settle.go
@@ -17,6 +17,7 @@
 	clockEvery = 60 * time.Second // the same for the clock by which debts age
 	episode    = 300_000          // ms of settling after which it rests, to see anew how partners fare without
 	rest       = 15_000           // ms: the tail, and some seconds to see
+	waitMost   = 30 * time.Second // for partners of which too little was seen to begin with all that may
 	change     = 0.1              // part by which a share or a net debt must change to be written
 )
 
@@ -79,7 +80,8 @@
 	if entry.Epoch != d.epoch || d.looks == nil {
 		d.epoch, d.written = entry.Epoch, now
 	}
-	d.look(now, seen.Sums, was)
+	shut := d.shut(seen)
+	d.look(now, seen.Sums, was, len(shut) > 0)
 	next := was.clone()
 	next.Clock += uint64((now - d.written).Milliseconds())
 	ledger := Read(seen.Totals(Exact))
@@ -89,7 +91,7 @@
 	next.Shares = nil
 	if d.terms.On {
 		d.pace(now, was, &next)
-		d.steer(seen, was, &next)
+		d.steer(now, shut, was, &next)
 	}
 	if !d.worth(now, was, next) {
 		return nil, false
@@ -98,17 +100,22 @@
 	return value, err == nil
 }
 
-// look takes in what was counted since the last one.
-func (d *Decider) look(now time.Duration, sums map[string]uint64, was Value) {
+// look takes in what was counted since the last one. While failover is at work nothing tells how partners fare without
+// a settlement, nor do the queues that it leaves.
+func (d *Decider) look(now time.Duration, sums map[string]uint64, was Value, moves bool) {
 	l := look{now, map[string]uint64{}}
 	for name, n := range sums {
 		if strings.HasPrefix(name, ours) {
 			l.sums[name] = n
 		}
 	}
-	if len(was.Shares) > 0 {
+	if moves {
+		clear(d.calm)
+	}
+	if len(was.Shares) > 0 || moves {
 		d.settled = now
-	} else {
+	}
+	if len(was.Shares) == 0 {
 		clear(d.tried)
 	}
 	if n := len(d.looks); n > 0 {
--- a/internal/debts/steer.go
+++ b/internal/debts/steer.go
@@ -1,6 +1,8 @@
 package debts
 
 import (
+	"time"
+
 	"slices"
 
 	"harrierhoist/internal/cluster"
@@ -8,7 +10,7 @@
 
 // steer works out the shares. A debtor's servers take tasks of its creditor: each is then owed by the creditor, and the
 // net debt falls by it. That it fell is seen in the totals alone.
-func (d *Decider) steer(seen cluster.Seen, was Value, next *Value) {
+func (d *Decider) steer(now time.Duration, shut map[string]bool, was Value, next *Value) {
 	begins := len(was.Shares) == 0
 	if len(d.looks) <= rateBeats {
 		next.Shares = was.Shares // a new leader has no rates yet
@@ -24,13 +26,13 @@
 		next.Rest = next.Clock + rest
 		return
 	}
-	shut := d.shut(seen)
 	if begins {
 		d.base(next)
 	}
 	weights := d.terms.weights()
 	var pairs []Pair
 	var flows []Flow
+	few := false                  // too little was seen of a partner that may have a part
 	rates := map[string]float64{} // units a second that a creditor has to move
 	for _, n := range next.Nets {
 		settle, shareMost, _ := d.terms.rule(n.Debtor, n.Creditor)
@@ -40,7 +42,11 @@
 		}
 		a, b := next.standing(n.Debtor), next.standing(n.Creditor)
 		if !settle || weights[n.Debtor] == 0 || weights[n.Creditor] == 0 || float64(n.Sum) < least ||
-			shut[n.Debtor] || shut[n.Creditor] || !d.fit(a, next.Clock) || !d.fit(b, next.Clock) {
+			shut[n.Debtor] || shut[n.Creditor] || next.Clock < max(a.Hold, b.Hold) {
+			continue
+		}
+		few = few || min(a.Tasks, b.Tasks) < baseLeast
+		if !d.fit(a) || !d.fit(b) {
 			continue
 		}
 		has := d.rate(Pure, n.Creditor)
@@ -49,7 +55,7 @@
 		want := min(float64(n.Sum)/d.terms.SettleOver, shareMost*has) * pace
 		pairs, flows = append(pairs, n.Pair), append(flows, Flow{want, weights[n.Creditor]})
 	}
-	if len(flows) == 0 {
+	if len(flows) == 0 || begins && few && now < d.settled+tailOver+waitMost {
 		return
 	}
 	for i, x := range Fair(flows, d.limits(pairs, rates)) {
@@ -64,9 +70,9 @@
 	}
 }
 
-// fit tells whether a partner may have a part: it is not on hold, and was seen to be served well without a settlement.
-func (d *Decider) fit(s Standing, clock uint64) bool {
-	return clock >= s.Hold && s.Tasks >= baseLeast && s.Late <= (1-d.terms.WellLeast)*s.Tasks
+// fit tells whether a partner may have a part: it was seen to be served well without a settlement.
+func (d *Decider) fit(s Standing) bool {
+	return s.Tasks >= baseLeast && s.Late <= (1-d.terms.WellLeast)*s.Tasks
 }
 
 // base takes down how partners fare without a settlement. A leader that has seen too little begins none.
@@ -89,10 +95,12 @@
 	}
 	halls := d.halls(seen)
 	for _, p := range d.terms.Partners {
-		all[p.Name] = slices.ContainsFunc(p.Halls, func(name string) bool {
+		if slices.ContainsFunc(p.Halls, func(name string) bool {
 			h, known := halls[name]
 			return known && (h.Out || h.Left >= 0 && h.Left < d.terms.RoomLeast)
-		})
+		}) {
+			all[p.Name] = true
+		}
 	}
 	return all
 }
--- a/internal/debts/terms.go
+++ b/internal/debts/terms.go
@@ -49,7 +49,7 @@
 
 // Default gives the terms that stand where the file says nothing. Reasons and figures: docs/debts.md.
 func Default() Terms {
-	return Terms{SettleOver: 20, ShareMost: 0.25, MovedMost: 200, LendMost: 0.2, LossMost: 0.005, RoomLeast: 0.2,
+	return Terms{SettleOver: 20, ShareMost: 0.5, MovedMost: 200, LendMost: 0.3, LossMost: 0.005, RoomLeast: 0.2,
 		WellLeast: 0.9, Least: 5}
 }
 
