--- a/internal/debts/terms.go
+++ b/internal/debts/terms.go
@@ -91,7 +91,7 @@
 	once := map[string]string{}
 	taken := func(kind, name, key string) {
 		if was, ok := once[kind+name]; ok {
-			say(key, fmt.Sprintf("a %s stands once; %s has it too", kind, was), name)
+			say(key, fmt.Sprintf("a %s stands once; %s has it too", strings.TrimSpace(kind), was), name)
 		}
 		once[kind+name] = key
 	}
