--- a/internal/debts/till/run.go
+++ b/internal/debts/till/run.go
@@ -204,5 +204,5 @@
 			s.owed -= min(c.Sum, s.owed)
 		}
 	}
-	l.life, l.kick = l.life+"+", nil
+	l.life, l.kick = l.fresh+"+", nil
 }
--- a/internal/debts/till/till.go
+++ b/internal/debts/till/till.go
@@ -28,6 +28,7 @@
 	roll   *debts.Roll
 	chance *rand.Rand
 	life   string // of the counts below
+	fresh  string // the life that this process was given
 	sums   map[debts.Pair]*sum
 	seen   map[string]*[debts.Whats]uint64 // evidence, by partner
 	shares []share                         // by lot; none while nothing is settled
@@ -52,7 +53,7 @@
 // New makes the till of a life of the counts, by which the log tells them from others of the same process: no two
 // lives of a process have the same name. Now is the clock that leases are told on.
 func New(t debts.Terms, site Site, life string, seed uint64, now func() time.Duration) *Till {
-	l := &Till{chance: rand.New(rand.NewPCG(seed, 0xdeb7)), life: life, sums: map[debts.Pair]*sum{}, seen: map[string]*[debts.Whats]uint64{},
+	l := &Till{chance: rand.New(rand.NewPCG(seed, 0xdeb7)), life: life, fresh: life, sums: map[debts.Pair]*sum{}, seen: map[string]*[debts.Whats]uint64{},
 		now: now}
 	l.Reshape(t, site)
 	return l
