--- /dev/null
+++ b/internal/gate/debts_test.go
@@ -0,0 +1,81 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"harrierhoist/internal/debts"
+	"harrierhoist/internal/debts/till"
+	"harrierhoist/policy"
+)
+
+// owing is a story whose gate keeps debts: its hall is b's, and customers of the plan are a's.
+func owing(t *testing.T) (*story, *till.Till) {
+	s := begin(t)
+	terms := debts.Default()
+	terms.On = true
+	terms.Partners = []debts.Partner{{Name: "a", Halls: []string{"ha"}, Plans: []string{"wide"}}, {Name: "b", Halls: []string{"hb"}}}
+	l := till.New(terms, till.Site{Halls: []string{"hb", "ha"}, Plans: []string{"wide", "small"},
+		Lanes: []policy.Lane{{SoftLimit: time.Second}, {SoftLimit: time.Second, Effect: policy.Effectful}}}, "x", 1,
+		func() time.Duration { return 0 })
+	s.g.Owe(l)
+	return s, l
+}
+
+func owed(l *till.Till) (sum uint64) {
+	l.ExactCounts(func(_ string, n uint64) { sum += n })
+	return sum
+}
+
+// What a push owes is counted as it ends, also where its client is gone by then or its task has been terminated.
+func TestPushesAreOwedAsTheyEnd(t *testing.T) {
+	s, l := owing(t)
+	e, _ := s.pushed(0, time.Second)
+	e.Report(Result{Outcome: policy.Answered, Billed: 3.5})
+	if got := owed(l); got != 3500 {
+		t.Errorf("%d owed", got)
+	}
+	e, _ = s.pushed(0, time.Second)
+	e.Gone()
+	e.Report(Result{Outcome: policy.Reset})
+	if got := owed(l); got != 5500 {
+		t.Errorf("%d owed with a client that left", got)
+	}
+	e, push := s.pushed(1, 100*time.Millisecond)
+	<-push.Wanted.Done()
+	e.Report(Result{Outcome: policy.Cancelled})
+	s.want(e, Terminate)
+	if got := owed(l); got != 7500 {
+		t.Errorf("%d owed with a task terminated", got)
+	}
+	evidence := map[string]uint64{}
+	l.Counts(func(name string, n uint64) { evidence[name] = n })
+	if tasks, late := evidence[debts.Count(debts.Tasks, "a")], evidence[debts.Count(debts.Late, "a")]; tasks != 2 || late != 1 {
+		t.Errorf("%d tasks, %d late", tasks, late)
+	}
+}
+
+// A creditor's elective tasks go to the server that the debtor lends, and to the others once nothing is settled.
+func TestElectiveTasksGoToTheDebtorsServers(t *testing.T) {
+	s, l := owing(t)
+	s.g.List(policy.ListChanges, []Server{{Name: "s-2", Listed: policy.Listed{Stage: policy.Ready, Hall: 1}}})
+	sent := func() (far int) {
+		for range 20 {
+			e, c := s.pushed(0, time.Second)
+			e.Report(Result{Outcome: policy.Answered, Billed: 2})
+			far += c.Server.Listed.Hall
+		}
+		return far
+	}
+	if far := sent(); far == 20 {
+		t.Fatal("all go to the far server as it is")
+	}
+	l.Take(debts.Value{Shares: []debts.Share{{Pair: debts.Pair{Debtor: "b", Creditor: "a"}, Part: debts.Whole}}}, time.Hour)
+	s.g.Settle()
+	near := 20 - sent() // b's servers are in hall 0
+	l.Take(debts.Value{}, time.Hour)
+	s.g.Settle()
+	if far := sent(); near != 20 || far == 0 {
+		t.Errorf("%d of 20 to the debtor's server, then %d to the other", near, far)
+	}
+}
