Debts: which halls a plan of failover leaves to settlements

Failover's plan goes first. What its rows and soundness say becomes the decider's word on halls, without one package knowing the other. Shown by TestHallsThatFailoverNeedsAreLeftAlone.

--- a/internal/debts/settle_test.go
+++ b/internal/debts/settle_test.go
@@ -202,3 +202,12 @@
 		t.Errorf("rested %d s in 700", rests)
 	}
 }
+
+func TestHallsThatFailoverNeedsAreLeftAlone(t *testing.T) {
+	got := HallsOf(map[string]map[string]int{"a": {"a": 500, "b": 500}, "b": {"b": 1000}, "c": {"c": 1000, "a": 0},
+		"d": {"d": 1000}},
+		map[string]int{"c": 1000, "d": 400})
+	if !got["a"].Out || !got["b"].Out || got["c"].Out || !got["d"].Out {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/debts/steer.go
+++ b/internal/debts/steer.go
@@ -126,3 +126,24 @@
 	}
 	return append(all, far)
 }
+
+// HallsOf tells from a plan of failover which halls are to be left alone: those that it moves tasks from or to, and
+// those of which not all that is listed answers. Rows are shares by the hall that tasks come in at and the hall they
+// are pushed to; sound is by hall the part that answers; both are in thousandths. What is left is not known by it.
+func HallsOf(rows map[string]map[string]int, sound map[string]int) map[string]Hall {
+	const whole, answers = 1000, 900
+	all := map[string]Hall{}
+	for from, row := range rows {
+		for to, share := range row {
+			if to == from && share < whole || to != from && share > 0 {
+				all[from], all[to] = Hall{true, -1}, Hall{true, -1}
+			}
+		}
+	}
+	for hall, part := range sound {
+		if part < answers {
+			all[hall] = Hall{true, -1}
+		}
+	}
+	return all
+}
