--- a/internal/debts/till/run.go
+++ b/internal/debts/till/run.go
@@ -34,11 +34,10 @@
 )
 
 // Run goes by the tables that all hold in common, and keeps the counts on disk if there is one, until the context
-// ends. It is called once.
+// ends. It is called once, after Load where there is a disk.
 func (l *Till) Run(ctx context.Context, commons cluster.Commons, gate Settler, disk Disk, log *zap.Logger) {
 	written := make(chan struct{})
 	if disk != nil {
-		l.Load(disk)
 		go func() {
 			defer close(written)
 			l.write(ctx, disk, log)
--- a/internal/debts/till/till_test.go
+++ b/internal/debts/till/till_test.go
@@ -180,6 +180,7 @@
 	run := func(do func(*Till)) {
 		f := &fake{changed: make(chan struct{})}
 		l := New(terms(), site, "fresh", 1, f.Now)
+		l.Load(d)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { l.Run(ctx, f, make(settler, 10), d, zap.NewNop()); close(ended) }()
