--- a/internal/cluster/evidence/evidence_test.go
+++ b/internal/cluster/evidence/evidence_test.go
@@ -84,6 +84,9 @@
 	again := digest(1, 5)
 	again.Incarnation = 8
 	b.Take(again)
+	if e := b.Exact(); len(e) != 2 || e[0].Exact["owed"] != 100 {
+		t.Errorf("exact %+v", e)
+	}
 	b.Take(digest(3, 130)) // late, of the life before
 	b.Take(digest(2, 120)) // later still
 	e := b.Exact()
--- a/internal/debts/settle_test.go
+++ b/internal/debts/settle_test.go
@@ -144,6 +144,13 @@
 	if before.share(Pair{"a", "b"}) == 0 || before.standing("a").Pace != Whole {
 		t.Fatalf("not settling: %+v", before)
 	}
+	s.halls["hall-b"] = Hall{Out: true}
+	s.pass(2)
+	if len(s.value().Shares) > 0 {
+		t.Error("goes on while failover needs a hall")
+	}
+	clear(s.halls)
+	s.pass(60)
 	s.late["a"] = 30 // of 1,000: six times what may be
 	s.pass(25)
 	if v := s.value(); len(v.Shares) > 0 || v.standing("a").Hold <= v.Clock {
--- a/policy/elective_test.go
+++ b/policy/elective_test.go
@@ -57,6 +57,7 @@
 				s.g.List(s.now, ListChanges, []Listed{{Server: n, Stage: Ready, Power: 1, Hall: 1, Owner: 9,
 					Elective: true, Since: s.now}})
 			}
+			s.pass(4 * time.Second) // one that is half warm is due a push of ordinary ones
 		},
 		"full": func(s *story) {
 			for id := range uint32(60) { // none of them is answered
