--- a/internal/debts/play/play.go
+++ b/internal/debts/play/play.go
@@ -162,7 +162,7 @@
 		}
 		c := g.till.Enter(t.now, task)
 		hall := of
-		if d := c.Prefer(); d > 0 && t.wait(d-1) < nearRoom && !t.out(d-1) {
+		if d := c.Prefer(); d > 0 && (t.Blind || t.wait(d-1) < nearRoom) && !t.out(d-1) {
 			hall = d - 1
 			t.moved++
 		}
--- a/internal/debts/play/world.go
+++ b/internal/debts/play/world.go
@@ -19,6 +19,7 @@
 	Calm     time.Duration // before the first partner's hall is lost
 	Out      time.Duration // how long it is lost
 	After    time.Duration
+	Blind    bool // gateways don't see the queues that they push to to settle
 	Settle   bool // false: the same without a decider
 
 	Faults  bool          // digests go wrong, leaders change
