Debts: slow answers slow a settlement, and a loss is made good before it goes on

Where gateways don't see the queue at a debtor's hall, each attempt ended in one: at 80 % the debtor lost 7 % of its tasks over ten minutes, as 30 s of rest were far less than the loss called for. Answers over half of the soft limit now halve the pace before any is late, the pace stays under that which did harm, and who lost is left alone until the loss is within the stated part.

--- a/internal/debts/settle.go
+++ b/internal/debts/settle.go
@@ -1,6 +1,7 @@
 package debts
 
 import (
+	"cmp"
 	"maps"
 	"strings"
 	"time"
@@ -43,6 +44,7 @@
 	looks     []look        // the latest rateOver + 1
 	calm      map[string]*tally
 	tried     map[string]*tally // while shares stand
+	recent    map[string]*tally // of these, since paces were last changed
 	settled   time.Duration     // when shares last stood
 	paced     time.Duration     // when paces were last changed
 	epoch     uint64            // of the table
@@ -68,7 +70,7 @@
 func (d *Decider) Decide(now time.Duration, seen cluster.Seen) ([]byte, bool) {
 	if d.calm == nil || seen.Since != d.since {
 		*d = Decider{terms: d.terms, halls: d.halls, since: seen.Since, settled: now, calm: map[string]*tally{},
-			tried: map[string]*tally{}}
+			tried: map[string]*tally{}, recent: map[string]*tally{}}
 	} else if now < d.at+beat {
 		return nil, false
 	}
@@ -117,6 +119,7 @@
 	}
 	if len(was.Shares) == 0 {
 		clear(d.tried)
+		clear(d.recent)
 	}
 	if n := len(d.looks); n > 0 {
 		before := d.looks[n-1]
@@ -134,7 +137,12 @@
 			if to[p.Name] == nil {
 				to[p.Name] = &tally{}
 			}
-			to[p.Name].add(grown(Tasks), grown(Late), now-before.at)
+			more := tally{grown(Tasks), grown(Late), grown(Slow)}
+			to[p.Name].add(more, now-before.at)
+			if d.recent[p.Name] == nil {
+				d.recent[p.Name] = &tally{}
+			}
+			d.recent[p.Name].add(more, 0)
 		}
 	}
 	d.at, d.looks = now, append(d.looks, l)
@@ -170,18 +178,25 @@
 		if a := d.rate(Asked, p.Name); how == harmless && a*rateOver > askedMin && d.rate(Went, p.Name) < wentLeast*a {
 			how = harmLikely // no room there, as the gateways find
 		}
+		if how == harmless && crowded(s, *d.recent[p.Name]) {
+			how = harmLikely
+		}
 		switch how {
 		case harmSure:
-			s.Pace, s.Hold = paceFirst, next.Clock+holdFor
+			s.Hold = next.Clock + hold(s, *d.tried[p.Name], d.rate(Tasks, p.Name), d.terms.LossMost)
+			s.Pace = max(s.Pace/4, paceFirst/16)
+			s.Most = s.Pace
 			delete(d.tried, p.Name)
 		case harmLikely:
 			s.Pace = max(s.Pace/2, paceFirst/16)
-			delete(d.tried, p.Name)
+			s.Most = s.Pace
 		default:
-			s.Pace = min(uint64(float64(s.Pace)*paceMore), Whole)
+			s.Most = min(uint64(float64(cmp.Or(s.Most, Whole))*againMore), Whole)
+			s.Pace = min(uint64(float64(s.Pace)*paceMore), s.Most)
 		}
 		next.stands(s)
 	}
+	clear(d.recent)
 }
 
 // worth tells whether the next value says enough that the one that stands does not.
--- a/internal/debts/steer.go
+++ b/internal/debts/steer.go
@@ -79,9 +79,9 @@
 func (d *Decider) base(next *Value) {
 	for _, p := range d.terms.Partners {
 		s := next.standing(p.Name)
-		s.Tasks, s.Late = 0, 0
+		s.Tasks, s.Late, s.Slow = 0, 0, 0
 		if seen := d.calm[p.Name]; seen != nil {
-			s.Tasks, s.Late = seen.tasks, seen.late
+			s.Tasks, s.Late, s.Slow = seen.tasks, seen.late, seen.slow
 		}
 		next.stands(s)
 	}
--- a/internal/debts/till/claim.go
+++ b/internal/debts/till/claim.go
@@ -2,12 +2,16 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"harrierhoist/internal/debts"
 	"harrierhoist/policy"
 )
 
+// never is longer than any task takes.
+const never = time.Duration(math.MaxInt64)
+
 // Claim is one task on its way, as the till follows it. A nil claim is of no partner: nothing is counted for it. Its
 // calls are made one after another.
 type Claim struct {
@@ -114,7 +118,7 @@
 		if owner := c.roll.Owner(c.hall); owner > 0 {
 			l.count(c.roll, debts.Served, owner, owed)
 		}
-		c.end(now-c.at <= c.soft)
+		c.end(now - c.at)
 	case policy.Full, policy.NoConnect, policy.Moot:
 		owed = 0
 	}
@@ -136,18 +140,21 @@
 	if left {
 		c.over = true
 	}
-	c.end(false)
+	c.end(never)
 }
 
 // end counts how a first try was served, once. One that was never pushed was not let in by its plan, or found no
 // server: it is left out, as it has taken nothing from anyone and most such are over their plan.
-func (c *Claim) end(inTime bool) {
+func (c *Claim) end(took time.Duration) {
 	if c.over || !c.tried {
 		return
 	}
 	c.over = true
 	c.till.count(c.roll, debts.Tasks, c.of, 1)
-	if !inTime {
+	if took > c.soft/2 {
+		c.till.count(c.roll, debts.Slow, c.of, 1)
+	}
+	if took > c.soft {
 		c.till.count(c.roll, debts.Late, c.of, 1)
 	}
 }
--- a/internal/debts/value.go
+++ b/internal/debts/value.go
@@ -39,6 +39,8 @@
 	Hold    uint64  `cbor:"3,keyasint"` // until when it has no part in any settlement, on the clock of the table
 	Tasks   float64 `cbor:"4,keyasint"` // seen before the settlement began
 	Late    float64 `cbor:"5,keyasint"` // of these, late or without an answer
+	Slow    float64 `cbor:"6,keyasint"` // of these, over half of their soft limit
+	Most    uint64  `cbor:"7,keyasint"` // of Whole: bound of the pace since it did harm; 0: none
 }
 
 // Value is what the table holds: all that a new leader must know. What is owed is not in it but for show: that is read
