Debts: each change of a pace is written

A bound that grew by less than a tenth was not written and so forgotten at the next beat: it grew when a renewal happened to fall on it. It now grows by 0.4 % each 3 s, which is what was seen in effect.

--- a/internal/debts/guard.go
+++ b/internal/debts/guard.go
@@ -37,7 +37,7 @@
 	likely    = 1.0              // the same before the pace is halved
 	slowMost  = 0.05             // part of tasks that may be slow for it: a queue shows there before any is late
 	holdMost  = 3600_000         // ms that a partner is left alone at the most
-	againMore = 1.02             // growth of the pace's bound per change: doubled in two minutes
+	againMore = 1.004            // growth of the pace's bound per change: doubled in nine minutes
 	queueLeft = 2.0              // a queue drains at least as long as it grew: so much more is late than was seen
 	holdFor   = 30_000           // ms for which a partner is then left alone: longer than a queue lasts
 	paceFirst = Whole / 4        // the pace at which a settlement begins
--- a/internal/debts/settle.go
+++ b/internal/debts/settle.go
@@ -215,7 +215,7 @@
 		}
 	}
 	for _, s := range next.Standing {
-		if old := was.standing(s.Partner); off(old.Pace, s.Pace, 0) || old.Hold != s.Hold {
+		if old := was.standing(s.Partner); old.Pace != s.Pace || old.Most != s.Most || old.Hold != s.Hold {
 			return true
 		}
 	}
