--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -53,26 +53,34 @@
 	choices chan Choice
 	pushes  int
 	server  uint32
+	hall    int // of that server
 	at      time.Duration
 	giveUp  context.CancelFunc // of the push that is out
+	units   float64
 	over    bool
 	claim   *till.Claim // what it owes; nil: nothing is kept of it
+	counted *Counted    // nil: under its customer alone
 }
 
 // Admit takes a task. It is carried by calling Pick until that is final.
 func (g *Gate) Admit(t Task) *Errand {
 	now := g.enter()
 	defer g.leave()
-	if g.pool.Due(now) {
-		g.hand(now, policy.ListWhole)
-	}
+	g.keep(now)
 	g.latest++
-	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2)} // a push and what is final
+	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units} // a push and what is final
+	if g.shed(e, t.Repeat) {
+		return e
+	}
 	g.errands[e.id] = e
 	task := policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
 		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat}
 	e.claim = g.till.Enter(now, task)
 	task.Prefer = e.claim.Prefer()
+	if g.counting != nil {
+		g.byRule(now, e, t, task)
+		return e
+	}
 	g.module.Take(now, task)
 	return e
 }
@@ -86,6 +94,12 @@
 	defer e.g.leave()
 	e.giveUp()
 	e.claim.Back(now, r.Outcome, r.Billed)
+	if w := e.g.outside.Witness; w != nil {
+		w.Ended(now, e.hall, e.server, r.Outcome, now-e.at)
+	}
+	if e.counted != nil {
+		r = e.counted.weigh(r)
+	}
 	if r.Outcome == policy.Answered {
 		e.end()
 	}
@@ -106,6 +120,9 @@
 func (e *Errand) end() {
 	e.over = true
 	delete(e.g.errands, e.id)
+	if e.counted != nil && e.counted.Over != nil {
+		e.counted.Over(e.pushes > 0, e.counted.billed)
+	}
 }
 
 func (e *Errand) close(c Choice) {
--- a/internal/pool/elective.go
+++ b/internal/pool/elective.go
@@ -49,7 +49,7 @@
 		if p.kept <= 0 {
 			n = float64(len(ring))
 		}
-		for _, at := range p.arc(hall, ring, list, n/float64(len(ring))) {
+		for _, at := range p.arc(hall, ring, list, int(n)) {
 			if s := list[at].Listed; !have[s.Server] {
 				s.Owner, s.Elective = owner(hall), true
 				part = append(part, s)
