--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -22,6 +22,7 @@
 	if w := g.outside.Witness; w != nil {
 		w.Pushed(e.at, e.hall, e.units, e.pushes == 1)
 	}
+	e.claim.Sent(e.hall)
 	c := Choice{Verdict: Push, Server: to, Until: g.start.Add(until - g.origin)}
 	c.Wanted, e.giveUp = context.WithCancel(context.Background())
 	e.choices <- c
