--- a/internal/gate/list.go
+++ b/internal/gate/list.go
@@ -69,6 +69,7 @@
 		g.told(now, all)
 	}
 	part, sharers := g.pool.Part(now, all)
+	part = g.till.Elect(g.pool, now, part, all)
 	if kind == policy.ListChanges {
 		kind = policy.ListWhole
 	}
