--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"harrierhoist/internal/debts/till"
 	"harrierhoist/internal/pool"
 	"harrierhoist/internal/witness"
 	"harrierhoist/policy"
@@ -45,6 +46,7 @@
 	latest  uint32
 	servers map[uint32]Server // those listed, by the module's number
 	pool    *pool.Pool        // which of them the module is handed
+	till    *till.Till        // what tasks owe; nil: nothing is kept
 	numbers map[string]uint32 // by name
 	named   uint32            // the latest number; none is used twice
 
@@ -107,6 +109,7 @@
 	}
 	g.site = given
 	g.pool.Resize(site.Me, site.Gateways)
+	g.till.Resite(site.Lanes, site.Plans)
 	g.sized(&site)
 	if g.counting != nil {
 		site = g.counting.Shaped(site)
