--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -23,6 +23,7 @@
 	"harrierhoist/internal/counting"
 	"harrierhoist/internal/failover"
 	"harrierhoist/internal/steer"
+	"harrierhoist/internal/witness"
 )
 
 // common is this gateway's part in what processes hold in common; nil where no charter is named.
@@ -82,6 +83,7 @@
 			return fmt.Errorf("RELAY_COMMON: process.hall must be one of settings.Dcs of RELAY_CONFIG, %q, where "+
 				"failover is on, not %q", in.told.Halls, hall)
 		}
+		in.gate.Attend(witness.New(in.told.Halls, slices.Index(in.told.Halls, hall), &in.told.Deployment))
 		go steer.New(held, in.gate, in.told.Halls, hall, in.log).Run(ctx)
 	}
 	if file.Counting != nil {
