Debts in the daemon and the operators' file; the witness attends where failover is on

Missing between them: debts had no table in the file and nothing in the daemon; the gate was steered but no witness counted, so a decider would have seen no gateway. gate.Attend and keep.Start put both in; terms of debts change on SIGHUP; what a gateway's till keeps on disk is written before the process ends. [process] disk may name a folder for a gateway that is no voter where debts are on.

--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"harrierhoist/internal/counting"
+	"harrierhoist/internal/debts"
 	"harrierhoist/internal/failover"
 )
 
@@ -21,7 +22,7 @@
 	// terms have a method Check() []error whose errors name the key and what is allowed.
 	Failover *failover.Terms `toml:"failover"`
 	Counting *counting.Terms `toml:"counting"`
-	//   PLACE debts: Debts *debts.Terms `toml:"debts"`
+	Debts    *debts.Terms    `toml:"debts"`
 }
 
 // Process is who this process is.
@@ -30,7 +31,7 @@
 	Hall   string `toml:"hall"`   // that it stands in; needed by the parts that go by halls
 	Voter  bool   `toml:"voter"`  // whether it is one of the voters named below
 	Listen string `toml:"listen"` // host:port of a voter's link; where left out, its address below
-	Disk   string `toml:"disk"`   // a voter's folder
+	Disk   string `toml:"disk"`   // a voter's folder; where debts are on, any gateway's, for what it counted
 	// PrivateNetwork says that the network between the processes is private: links are plain, so without it
 	// nothing but loopback is listened on or dialled.
 	PrivateNetwork bool `toml:"private_network"`
@@ -93,13 +94,18 @@
 	if c.Counting != nil {
 		terms["counting"] = c.Counting
 	}
-	//   PLACE debts: if c.Debts != nil { terms["debts"] = c.Debts }
+	if c.Settles() {
+		terms["debts"] = c.Debts
+	}
 	return terms
 }
 
 // FailsOver tells whether failover is on.
 func (c *Charter) FailsOver() bool { return c.Failover != nil && c.Failover.On }
 
+// Settles tells whether debts between partners are counted and settled.
+func (c *Charter) Settles() bool { return c.Debts != nil && c.Debts.On }
+
 // Self is the entry of this process among the voters, nil where it is none.
 func (c *Charter) Self() *Voter {
 	if !c.Process.Voter {
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -58,7 +58,7 @@
 process.voter must be false where no [[voter]] has the name of this process, "v 1"`},
 		{`hall = "hall-a"`, `hal = "hall-a"`, `process.hal is no key; [process] takes connections, disk, hall, listen, name, private_network, single, voter`},
 		{`voter = true`, `voter = "yes"`, `process.voter must be true or false (line 5)
-process.disk must be left out where process.voter is not true, not "/var/lib/harrierhoist"`},
+process.disk must be left out where neither process.voter nor debts.on is true, not "/var/lib/harrierhoist"`},
 		{`voter = true`, `voter = true
 connections = 3`, `process.connections must be from 16 to 65536, not 3`},
 		{`voter = true`, `voter = true
@@ -85,7 +85,7 @@
 number = 5
 name = "v4"
 address = "127.0.0.1:7414"`, `voter must be 3 or 5 voters (or 1 where process.single = true, for trials), not 4`},
-		{`[timing]`, `[time]`, `time is no key; the file takes counting, failover, process, timing, voter`},
+		{`[timing]`, `[time]`, `time is no key; the file takes counting, debts, failover, process, timing, voter`},
 		{`[timing]`, `[timing`, `line 8: `},
 		{`[timing]`, `[failover]
 on = true
--- a/internal/charter/check.go
+++ b/internal/charter/check.go
@@ -44,10 +44,11 @@
 			address("process.listen", p.Listen)
 		}
 	} else {
-		for key, value := range map[string]string{"process.disk": p.Disk, "process.listen": p.Listen} {
-			if value != "" {
-				fault(key, "must be left out where process.voter is not true, not %q", value)
-			}
+		if p.Listen != "" {
+			fault("process.listen", "must be left out where process.voter is not true, not %q", p.Listen)
+		}
+		if p.Disk != "" && !c.Settles() {
+			fault("process.disk", "must be left out where neither process.voter nor debts.on is true, not %q", p.Disk)
 		}
 	}
 	names, numbers, addresses, replaced := map[string]bool{}, map[uint64]bool{}, map[string]bool{}, map[uint64]bool{}
--- a/internal/charter/read.go
+++ b/internal/charter/read.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"harrierhoist/internal/debts"
 )
 
 // Read reads the file. Its error is all that is wrong, each in a line of its own with file, key and what is allowed.
@@ -36,6 +38,8 @@
 	for {
 		c := &Charter{Process: Process{Connections: connectionsUsual},
 			Timing: Timing{Lease: Span{Duration: leaseUsual}, DigestEvery: Span{Duration: digestUsual}}}
+		terms := debts.Default()
+		c.Debts = &terms
 		err := toml.NewDecoder(bytes.NewReader(bytes.Join(lines, []byte("\n")))).DisallowUnknownFields().Decode(c)
 		var missing *toml.StrictMissingError
 		var bad *toml.DecodeError
--- a/internal/daemon/common.go
+++ b/internal/daemon/common.go
@@ -21,14 +21,20 @@
 	"harrierhoist/internal/cluster"
 	"harrierhoist/internal/commons"
 	"harrierhoist/internal/counting"
+	"harrierhoist/internal/debts"
+	"harrierhoist/internal/debts/keep"
+	"harrierhoist/internal/debts/till"
 	"harrierhoist/internal/failover"
 	"harrierhoist/internal/steer"
+	"harrierhoist/internal/witness"
 )
 
 // common is this gateway's part in what processes hold in common; nil where no charter is named.
 type common struct {
 	process *commons.Process
 	clerk   *clerk.Clerk // nil where counting rules are off
+	till    *till.Till   // nil where debts are off
+	kept    <-chan struct{}
 }
 
 // started is when the deciders' clock began, within a few milliseconds: a canary's edges go by the wall.
@@ -37,6 +43,15 @@
 // readsPerLease is how many waiting reads one lease lasts.
 const readsPerLease = 4
 
+// planned tells the settlement what failover's plan says of the halls: that goes first.
+func planned(seen cluster.Seen) map[string]debts.Hall {
+	plan, err := failover.Read(seen.Held(failover.Table).Value)
+	if err != nil || plan == nil {
+		return nil
+	}
+	return debts.HallsOf(plan.Rows, plan.Sound)
+}
+
 // join starts what a charter names, if one is named.
 func join(path string, log *zap.Logger) (*common, error) {
 	if path == "" {
@@ -65,7 +80,9 @@
 			}
 			all = append(all, trial)
 		}
-		//   PLACE debts: if c.Debts != nil { all = append(all, debts.New(*c.Debts, ...)) }
+		if c.Settles() {
+			all = append(all, debts.New(*c.Debts, planned))
+		}
 		return all
 	}
 }
@@ -82,6 +99,7 @@
 			return fmt.Errorf("RELAY_COMMON: process.hall must be one of settings.Dcs of RELAY_CONFIG, %q, where "+
 				"failover is on, not %q", in.told.Halls, hall)
 		}
+		in.gate.Attend(witness.New(in.told.Halls, slices.Index(in.told.Halls, hall), &in.told.Deployment))
 		go steer.New(held, in.gate, in.told.Halls, hall, in.log).Run(ctx)
 	}
 	if file.Counting != nil {
@@ -92,7 +110,14 @@
 			}
 		}()
 	}
-	//   PLACE debts: if file.Debts != nil { go till.New(...).Run(ctx, held, in.gate, ...) }
+	if file.Settles() {
+		var err error
+		c.till, c.kept, err = keep.Start(ctx, *file.Debts, in.told.Deployment, in.told.Halls, in.told.Seed,
+			file.Process.Disk, held, in.gate, in.log)
+		if err != nil {
+			return fmt.Errorf("RELAY_COMMON: process.disk: %w", err)
+		}
+	}
 	return nil
 }
 
@@ -104,7 +129,9 @@
 	if c.clerk != nil {
 		c.clerk.Move(c.process.Charter().Counting)
 	}
-	//   PLACE debts: c.till.Reshape(...)
+	if file := c.process.Charter(); c.till != nil && file.Debts != nil {
+		c.till.Retell(*file.Debts)
+	}
 }
 
 func (c *common) resign() {
@@ -113,8 +140,12 @@
 	}
 }
 
+// close ends what is held in common; the parts' context has ended.
 func (c *common) close() {
 	if c != nil {
+		if c.kept != nil {
+			<-c.kept
+		}
 		c.process.Close()
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,7 +82,10 @@
 		_ = listener.Close()
 		return err
 	}
-	defer common.close()
+	defer func() {
+		cancel() // what the parts keep on disk is written once their context has ended
+		common.close()
+	}()
 	if err := common.parts(ctx, in); err != nil {
 		_ = listener.Close()
 		return err
--- a/internal/debts/till/till.go
+++ b/internal/debts/till/till.go
@@ -68,6 +68,14 @@
 	l.terms, l.site, l.roll, l.shares = t, site, debts.NewRoll(t, site.Halls, site.Plans), nil
 }
 
+// Retell takes other terms for the same site.
+func (l *Till) Retell(t debts.Terms) {
+	l.mu.Lock()
+	site := l.site
+	l.mu.Unlock()
+	l.Reshape(t, site)
+}
+
 // Resite takes lanes and plans anew: they keep the numbers that they had.
 func (l *Till) Resite(lanes []policy.Lane, plans []policy.Plan) {
 	if l == nil {
--- a/internal/gate/debts.go
+++ b/internal/gate/debts.go
@@ -10,7 +10,9 @@
 	now := g.enter()
 	defer g.leave()
 	g.till = t
-	g.hand(now, policy.ListWhole)
+	if len(g.servers) > 0 {
+		g.hand(now, policy.ListWhole)
+	}
 }
 
 // Settle hands the module the servers that the till's shares now call for.
--- a/internal/gate/steer.go
+++ b/internal/gate/steer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"harrierhoist/internal/pool"
+	"harrierhoist/internal/witness"
 	"harrierhoist/policy"
 )
 
@@ -83,6 +84,17 @@
 	return true
 }
 
+// Attend has a witness told from here on what goes on by hall; pushes that are out end with it.
+func (g *Gate) Attend(w *witness.Witness) {
+	now := g.enter()
+	defer g.leave()
+	g.outside.Witness = w
+	w.Reshape(&g.site)
+	if len(g.servers) > 0 {
+		g.hand(now, policy.ListWhole)
+	}
+}
+
 // told tells the witness the whole list.
 func (g *Gate) told(now time.Duration, all []pool.Server) {
 	list := make([]policy.Listed, 0, len(all))
