--- a/internal/drill/shared_test.go
+++ b/internal/drill/shared_test.go
@@ -50,6 +50,11 @@
 
 // begin starts all of it, and waits until a plan is in force everywhere and tasks are pushed near.
 func begin(t *testing.T) *story {
+	t.Helper()
+	return beginWith(t, terms)
+}
+
+func beginWith(t *testing.T, terms string) *story {
 	t.Helper()
 	s := ready(t, terms, terms, mixed)
 	for _, g := range s.Gateways {
