--- a/internal/drill/canary_test.go
+++ b/internal/drill/canary_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"harrierhoist/internal/canary"
 	"harrierhoist/internal/counting"
+	"harrierhoist/internal/standin"
 )
 
 // harmful names a rule under which a customer has a hundredth of today's rate, and has it tried on 80 of 1000 customers.
@@ -17,6 +19,7 @@
 const (
 	customers   = 600              // some 48 in the sample, each with 0.4 units a second
 	verdictMost = 80 * time.Second // of the canary's 120: figures refuse it, not the deadline
+	undoneMost  = 60 * time.Second // after the edge: two looks of 10 s, 10 s after it
 )
 
 func many(int) func(*rand.Rand) Task {
@@ -28,6 +31,7 @@
 // 11. A rule that would reject most of what customers ask for is tried and refused by what gateways saw. No task is
 // touched: all are let in, but those that come before a gateway has heard which rule holds.
 func TestCanaryJudgedHarmful(t *testing.T) {
+	t.Parallel()
 	s := ready(t, harmful, harmful, many)
 	for _, g := range s.Gateways {
 		s.says(g.Process, `"so":false`, 1)
@@ -57,3 +61,51 @@
 		t.Errorf("ends before %v and after %v", before, ends)
 	}
 }
+
+// 13. A rule was taken by a canary that foretold far more than it lets in. Once that is seen under load it is undone at an
+// edge of its own, nobody asked, and tasks are let in as before.
+func TestUndoneByItselfUnderLoad(t *testing.T) {
+	t.Parallel()
+	s := ready(t, harmful, harmful, twice)
+	let := func(least, most float64, what string) {
+		t.Helper()
+		standin.Eventually(t, what, func() bool {
+			n := 0
+			for _, units := range s.Ledger.Flow(time.Now().Add(-time.Second)) {
+				n += units
+			}
+			part := float64(n) / float64(rate*len(s.Gateways))
+			return part >= least && part <= most
+		})
+	}
+	for _, g := range s.Gateways {
+		s.says(g.Process, `"so":false`, 1)
+	}
+	let(0.8, 1.2, "tasks let in by today's rule")
+	now := time.Now()
+	edge := now.Add(lead).Truncate(time.Second)
+	rule := counting.Rule{Version: 1, Key: []string{"customer"}, Limits: []counting.Limit{{Plan: "*", Rate: 0.1, Burst: 0.5}}}
+	s.Write(counting.Name, counting.Table{Phase: counting.Named, To: 1, Edge: time.Duration(edge.UnixNano()), Seed: 7,
+		Rules: []counting.Rule{rule}, Since: time.Duration(now.UnixNano()), Test: counting.Marshal(canary.Test{Foretold: 0.9}),
+		Trial: counting.Trial{Sample: 80, Calls: 250, DeadlineS: 120, WrongThousandths: 50, Rejected: 30, LetIn: 100, Beyond: 50,
+			Leave: 100, WatchS: 600}}.Encode())
+	let(0, 0.5, "tasks rejected by the rule in force")
+	for time.Since(edge) < undoneMost && s.Gateways[0].Log.Count(`"phase":3`) == 0 {
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, g := range s.Gateways {
+		s.says(g.Process, `"phase":3`, 1)
+	}
+	let(0.8, 1.2, "tasks let in by the earlier rule")
+	s.over()
+}
+
+// twice is many with two units a task: enough in the sample for a look at what came of the rule.
+func twice(int) func(*rand.Rand) Task {
+	draw := many(0)
+	return func(r *rand.Rand) Task {
+		t := draw(r)
+		t.Units = 2
+		return t
+	}
+}
