--- a/internal/drill/process.go
+++ b/internal/drill/process.go
@@ -13,10 +13,14 @@
 	"golang.org/x/sys/unix"
 )
 
+// buildFlags are those with which the program is built: as the tests are.
+var buildFlags []string
+
 // Build builds the program into a folder and gives its path.
 func Build(folder string) (string, error) {
 	path := filepath.Join(folder, "harrierhoist")
-	out, err := exec.Command("go", "build", "-o", path, "harrierhoist/cmd/harrierhoist").CombinedOutput()
+	args := append(append([]string{"build"}, buildFlags...), "-o", path, "harrierhoist/cmd/harrierhoist")
+	out, err := exec.Command("go", args...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
--- /dev/null
+++ b/internal/drill/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package drill
+
+func init() { buildFlags = append(buildFlags, "-race") }
