--- a/internal/drill/counts_test.go
+++ b/internal/drill/counts_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"harrierhoist/internal/counting"
-	"harrierhoist/internal/drill/relay"
 	"harrierhoist/internal/standin"
 )
 
@@ -37,7 +36,7 @@
 	groupRate  = 30 // units a second: a quarter of what is asked
 	groupBurst = 30
 	members    = 8                       // of the group: the customers 1 to 8
-	bursts     = 2                       // beyond the limit around a switch: what docs/counting-rules.md states
+	bursts     = 1                       // beyond the limit around a switch: docs/counting-rules.md states two; without the fence it is two here
 	lead       = 5000 * time.Millisecond // from the entry to the edge: a lease, two waits and a second are needed
 )
 
@@ -65,6 +64,7 @@
 			worst = max(worst, units-groupRate*all[j].At.Sub(all[i].At).Seconds())
 		}
 	}
+	s.t.Logf("%.0f units beyond the rate, and %.0f are allowed", worst, most)
 	if worst > most || len(all) == 0 {
 		s.t.Errorf("%d pushes, %.0f units beyond the rate, and %.0f are allowed", len(all), worst, most)
 	}
@@ -86,14 +86,16 @@
 	standin.Eventually(s.t, "its time", func() bool { return time.Now().After(when) })
 }
 
-// 12. A rule comes into force while one gateway is asleep, one is cut off and one is killed and started again, cut off
+// 12. A rule comes into force while one gateway is asleep, three are cut off and one is killed and started again, cut off
 // too. None of them has the count pass its limit, by the servers' record.
 func TestActivationWithOneAsleepOneCutOffOneRestarted(t *testing.T) {
 	s := ready(t, byGroup, terms, crowd)
 	s.honoured(100)
-	asleep, apart, again := s.Gateways[0], s.Gateways[2], s.Gateways[4]
+	asleep, again := s.Gateways[0], s.Gateways[4]
 	asleep.Sleep()
-	s.Between([]string{apart.Name, again.Name}, nil, relay.Fault{CutThere: true})
+	for _, g := range s.Gateways[1:5] {
+		s.Between([]string{g.Name}, nil, cut)
+	}
 	edge := s.activate()
 	again.Kill()
 	s.until(edge.Add(-time.Second / 2))
--- a/internal/drill/halls_test.go
+++ b/internal/drill/halls_test.go
@@ -7,6 +7,9 @@
 	"harrierhoist/internal/standin"
 )
 
+// stay is the least between the first step home and the last: two seconds by the terms, less what the looks take.
+const stay = 1700 * time.Millisecond
+
 // 1. A hall's servers die at once. Its tasks go to the hall of its region that has room, none to the other region; when
 // it is back they come home by steps.
 func TestHallLostWhole(t *testing.T) {
@@ -14,12 +17,12 @@
 	s.lose("hall-a", "hall-b")
 	s.share("hall-b", "hall-b", near, 1)
 	s.Become("hall-a", Well)
-	back := time.Now()
-	s.share("hall-a", "hall-a", 0.3, 0.9) // the step between
-	if took := time.Since(back); took < time.Second {
-		t.Errorf("the first step came after %v", took)
-	}
+	s.share("hall-a", "hall-a", 0.3, 0.9)
+	first := time.Now()
 	s.share("hall-a", "hall-a", near, 1)
+	if took := time.Since(first); took < stay {
+		t.Errorf("all came home %v after the first step", took)
+	}
 	s.never("hall-a", "hall-c", s.began)
 	s.over()
 }
