--- a/internal/drill/halls_test.go
+++ b/internal/drill/halls_test.go
@@ -20,6 +20,7 @@
 	s.share("hall-a", "hall-a", 0.3, 0.9)
 	first := time.Now()
 	s.share("hall-a", "hall-a", near, 1)
+	t.Logf("%v from the first step to the last", time.Since(first))
 	if took := time.Since(first); took < stay {
 		t.Errorf("all came home %v after the first step", took)
 	}
