--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -111,7 +111,7 @@
 		"seed": fmt.Sprintf("%016x", me+1), "limits": m{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known": json.RawMessage(w.Discovery.Whole()),
 		"settings": m{"Balancers": of, "Me": me, "MyZone": hall, "Dcs": w.Halls, "Models": []string{"m"},
-			"Discovery": "push",
+			"Discovery":  "push",
 			"TickMs":     2,
 			"FamilyInfo": m{"HasCounter": true, "CountLimitMs": 200, "Settles": true, "MostUnits": 6},
 			"Report":     m{"Fields": []string{}, "How": "off"},
