Failover: tasks let in and turned away for room are demand

Need: in a crowded hall the gateways turn most of what is above its strength away before any push, and demand was only what was pushed. The module says, asked while it rejects a task, whether the quota desk had let it in; what was let in, never pushed and no repeat counts as demand. Tasks beyond their customer's quota count for none.

--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -57,6 +57,7 @@
 	giveUp  context.CancelFunc // of the push that is out
 	units   float64
 	over    bool
+	repeat  bool
 	counted *Counted // nil: under its customer alone
 }
 
@@ -66,7 +67,7 @@
 	defer g.leave()
 	g.keep(now)
 	g.latest++
-	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units} // a push and what is final
+	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units, repeat: t.Repeat} // a push and what is final
 	if g.shed(e, t.Repeat) {
 		return e
 	}
--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -37,6 +37,9 @@
 // Reject is a final answer that makes trying again harmless.
 func (g host) Reject(task uint32, away time.Duration) {
 	if e := g.errands[task]; e != nil {
+		if w := g.outside.Witness; w != nil && e.pushes == 0 && !e.repeat && g.module.Passed(task) {
+			w.Shed(e.units) // for room, not for its quota
+		}
 		e.close(Choice{Verdict: Reject, Away: away})
 	}
 }
--- a/internal/lab/virtual/host.go
+++ b/internal/lab/virtual/host.go
@@ -10,6 +10,9 @@
 func (g *gateway) Reject(task uint32, away time.Duration) {
 	if t := g.tries[task]; t != nil {
 		t.away = away
+		if g.follower != nil {
+			g.follower.turned(t)
+		}
 		g.final(t, rejected)
 	}
 }
--- a/internal/lab/virtual/steered.go
+++ b/internal/lab/virtual/steered.go
@@ -71,6 +71,14 @@
 	f.w.Listed(f.c.e.now, list)
 }
 
+// turned tells its witness of a try that the module rejects, as the gate does: demand, if it was for room.
+func (f *follower) turned(t *try) {
+	module, is := f.g.d.(*policy.Gateway)
+	if is && module.Passed(t.local) && len(t.attempts) == 0 && !(t.number > 0 && f.c.e.w.Clients.Marks) {
+		f.w.Shed(t.request.told)
+	}
+}
+
 // shed rejects a try at once where it fits in no hall.
 func (f *follower) shed(t *try) bool {
 	repeat := t.number > 0 && f.c.e.w.Clients.Marks
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,6 +40,13 @@
 	kind  ListKind
 }
 
+// Passed tells whether the quota desk has let a task in that is not over yet. It changes nothing: a host that is told to
+// reject a task can ask why, the customer's quota or too little room.
+func (g *Gateway) Passed(task uint32) bool {
+	j := g.jobs[task]
+	return j != nil && j.paid
+}
+
 // row is a lane as the module reads it.
 type row struct {
 	Lane
