--- a/internal/failover/situations_test.go
+++ b/internal/failover/situations_test.go
@@ -21,6 +21,7 @@
 			Name                  string             `toml:"name"`
 			Gateways              int                `toml:"gateways"`
 			Demand, Sound, Listed map[string]float64 `toml:",omitempty"`
+			Beyond                map[string]float64
 			Cut, Blind, Mute      []string
 			Seconds               float64 `toml:"seconds"`
 			Shares, Shed          map[string]int
@@ -40,6 +41,9 @@
 			for h, x := range row.Demand {
 				w.demand[at(h)] = x
 			}
+			for h, x := range row.Beyond {
+				w.beyond[at(h)] = x
+			}
 			w.run(25 * time.Second) // demand comes first, as it would
 			for h, x := range row.Sound {
 				w.sound[at(h)] = x
--- a/internal/failover/world_test.go
+++ b/internal/failover/world_test.go
@@ -13,10 +13,11 @@
 // truth that the plans are held against.
 type world struct {
 	halls    []string
-	gateways []int     // by hall
-	demand   []float64 // units a second
-	listed   []float64 // strength by the list
-	sound    []float64 // part of it that answers
+	gateways []int           // by hall
+	demand   []float64       // units a second that quotas let in, pushed or not
+	beyond   map[int]float64 // and, by hall, that they don't
+	listed   []float64       // strength by the list
+	sound    []float64       // part of it that answers
 	cut      map[[2]int]bool
 	blind    map[int]bool // halls whose first gateway sees nothing answer, its list being empty
 	mute     map[int]bool // halls whose gateways' digests don't come
@@ -40,7 +41,7 @@
 // three is three halls in two regions, with so many gateways each, that bear 100 units a second each.
 func three(gateways int) *world {
 	w := &world{halls: []string{"a", "b", "c"}, cut: map[[2]int]bool{}, blind: map[int]bool{}, mute: map[int]bool{},
-		sums: map[string]uint64{}, lease: 2 * time.Second,
+		sums: map[string]uint64{}, beyond: map[int]float64{}, lease: 2 * time.Second,
 		terms: Terms{On: true, Bears: 10, Regions: []Region{{"north", []string{"a", "b"}}, {"south", []string{"c"}}}}}
 	for range w.halls {
 		w.gateways, w.demand = append(w.gateways, gateways), append(w.demand, 50)
@@ -77,6 +78,7 @@
 		}
 		w.add(witness.Time(from), ms*float64(w.gateways[f]))
 		w.add(witness.Let(from), w.demand[f]*ms)
+		w.add(witness.Came(from), (w.demand[f]+w.beyond[f])*ms)
 		w.add(witness.Ended(from, from, "well"), 10) // a hundred pushes a second
 		for g := range w.gateways[f] {
 			blind := g == 0 && w.blind[f]
--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -57,7 +57,7 @@
 	giveUp  context.CancelFunc // of the push that is out
 	units   float64
 	over    bool
-	repeat  bool
+	repeat  bool     // the client says that it asks again
 	counted *Counted // nil: under its customer alone
 }
 
@@ -67,7 +67,8 @@
 	defer g.leave()
 	g.keep(now)
 	g.latest++
-	e := &Errand{g: g, id: g.latest, choices: make(chan Choice, 2), units: t.Units, repeat: t.Repeat} // a push and what is final
+	e := &Errand{g: g, id: g.latest, units: t.Units, repeat: t.Repeat,
+		choices: make(chan Choice, 2)} // a push and what is final
 	if g.shed(e, t.Repeat) {
 		return e
 	}
--- a/internal/gate/steer_test.go
+++ b/internal/gate/steer_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -81,3 +82,39 @@
 		t.Errorf("counts %v", counts)
 	}
 }
+
+// A task that its quota lets in and that no server can take is demand, though it was never pushed; one beyond its quota
+// is none, nor is a repeat.
+func TestTurnedAwayForRoomIsDemand(t *testing.T) {
+	for _, c := range []struct {
+		what   string
+		units  float64
+		repeat bool
+		let    uint64
+	}{
+		{"no room", 2, false, 2000},
+		{"no room for a repeat", 2, true, 0},
+		{"beyond the quota", 9, false, 0},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			t.Parallel()
+			s := halls(t)
+			site := s.g.site
+			site.Plans[0].Rate, site.Plans[0].Burst = 0.01, 4
+			site.Lanes[0].SoftLimit = 50 * time.Millisecond
+			if _, err := s.g.Reshape(site); err != nil {
+				t.Fatal(err)
+			}
+			s.g.List(policy.ListWhole, nil)
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			go s.g.Tick(ctx)
+			s.want(s.g.Admit(Task{Customer: 5, Units: c.units, Width: 1, Patience: time.Second, Repeat: c.repeat}), Reject)
+			counts := map[string]uint64{}
+			s.g.Witnessed(func(name string, n uint64) { counts[name] = n })
+			if got := counts[witness.Let("a")]; got != c.let {
+				t.Errorf("%d thousandths of units of demand, not %d", got, c.let)
+			}
+		})
+	}
+}
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -115,7 +115,10 @@
 // Came takes that a task came in.
 func (w *Witness) Came(units float64) { w.came += units * 1000 }
 
-// Shed takes that a task was rejected at once as it fits in no hall: it is demand like those pushed.
+// Shed takes that a first try was rejected before any push for want of room, by a plan that sheds or by the module after
+// the quota let it in: it is demand like those pushed. It guards a crowded hall, whose gateways turn away what would have to
+// move, against looking merely full. Harm: a repeat that is pushed later counts its task once more, so that, while
+// tasks are turned away, more moves than must; and a client that doesn't mark its repeats counts with each.
 func (w *Witness) Shed(units float64) { w.let += units * 1000 }
 
 // Pushed takes a push to a server in a hall; first: it is its task's first.
