--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -20,7 +20,7 @@
 	to := g.servers[server]
 	e.hall = to.Listed.Hall
 	if w := g.outside.Witness; w != nil {
-		w.Pushed(e.at, e.hall, e.units, e.pushes == 1)
+		w.Pushed(e.at, e.hall, e.units, e.pushes == 1 && !e.repeat)
 	}
 	c := Choice{Verdict: Push, Server: to, Until: g.start.Add(until - g.origin)}
 	c.Wanted, e.giveUp = context.WithCancel(context.Background())
--- a/internal/gate/steer_test.go
+++ b/internal/gate/steer_test.go
@@ -76,9 +76,12 @@
 	s := halls(t)
 	s.g.Steer(Steering{}, 0, Steering{Weights: []float64{0, 1}})
 	s.goes("b")
+	again := s.g.Admit(Task{Customer: 5, Units: 2, Width: 1, Patience: time.Second, Repeat: true}) // no demand, but a push
+	s.want(again, Push)
+	again.Gone()
 	counts := map[string]uint64{}
 	s.g.Witnessed(func(name string, n uint64) { counts[name] = n })
-	if counts[witness.Pushed("a", "b")] != 10000 || counts[witness.Ended("a", "b", "well")] != 5 || s.g.HallLost() {
+	if counts[witness.Pushed("a", "b")] != 12000 || counts[witness.Let("a")] != 10000 || counts[witness.Ended("a", "b", "well")] != 5 || s.g.HallLost() {
 		t.Errorf("counts %v", counts)
 	}
 }
--- a/internal/lab/virtual/crowd_test.go
+++ b/internal/lab/virtual/crowd_test.go
@@ -8,11 +8,11 @@
 	"harrierhoist/internal/lab/world"
 )
 
-// crowded is three halls at half of their strength, of whose tries four in five come through one from second 4 to 14.
+// crowded is three halls at three fifths of their strength, of whose tries four in five come through one from second 4 to 14.
 func crowded(how string, troubles ...world.Trouble) *world.World {
 	w := threeHalls(how, append(troubles, world.Trouble{Kind: "crowd", At: span(4 * time.Second),
 		For: span(10 * time.Second), Part: 0.7})...)
-	w.Load.Rate = 320
+	w.Load.Rate = 400
 	return w
 }
 
@@ -21,13 +21,13 @@
 func TestACrowdedHallOverflows(t *testing.T) {
 	t.Parallel()
 	r := play(t, crowded(world.All), 1, baseline.Module)
-	if part := float64(r.Crossed) / float64(r.Pushes); part < 0.12 || part > 0.35 {
+	if part := float64(r.Crossed) / float64(r.Pushes); part < 0.12 || part > 0.3 {
 		t.Errorf("%.3f of the pushes go to another hall", part)
 	}
-	if refused := float64(r.Refused+r.Failed) / float64(r.Offered); refused > 0.03 {
+	if refused := float64(r.Refused+r.Failed) / float64(r.Offered); refused > 0.04 {
 		t.Errorf("%.3f of the requests get no answer", refused)
 	}
-	if r.Wrong > 0 || r.Warmest > 1.15 {
+	if r.Wrong > 0 || r.Warmest > 1.05 {
 		t.Errorf("%d wrong; over five seconds a hall gets %.2f of what it can do", r.Wrong, r.Warmest)
 	}
 }
--- a/internal/lab/virtual/push.go
+++ b/internal/lab/virtual/push.go
@@ -33,8 +33,8 @@
 	e.result.Pushes++
 	e.pushed(a)
 	e.ledger.Pushed(e.now, g.n, to, t.id)
-	if g.follower != nil {
-		g.follower.w.Pushed(e.now, s.hall, t.request.told, a.number == 0)
+	if f := g.follower; f != nil {
+		f.w.Pushed(e.now, s.hall, t.request.told, a.number == 0 && !f.again(t))
 	}
 	c := g.conns[to]
 	if c == nil {
--- a/internal/lab/virtual/steered.go
+++ b/internal/lab/virtual/steered.go
@@ -71,17 +71,20 @@
 	f.w.Listed(f.c.e.now, list)
 }
 
+// again tells whether a client says that it asks again.
+func (f *follower) again(t *try) bool { return t.number > 0 && f.c.e.w.Clients.Marks }
+
 // turned tells its witness of a try that the module rejects, as the gate does: demand, if it was for room.
 func (f *follower) turned(t *try) {
 	module, is := f.g.d.(*policy.Gateway)
-	if is && module.Passed(t.local) && len(t.attempts) == 0 && !(t.number > 0 && f.c.e.w.Clients.Marks) {
+	if is && module.Passed(t.local) && len(t.attempts) == 0 && !f.again(t) {
 		f.w.Shed(t.request.told)
 	}
 }
 
 // shed rejects a try at once where it fits in no hall.
 func (f *follower) shed(t *try) bool {
-	repeat := t.number > 0 && f.c.e.w.Clients.Marks
+	repeat := f.again(t)
 	if !repeat {
 		f.w.Came(t.request.told)
 	}
--- a/internal/witness/names.go
+++ b/internal/witness/names.go
@@ -31,8 +31,8 @@
 // Came names the units of the tasks that came in at a hall's gateways, in thousandths; repeats by clients among them.
 func Came(hall string) string { return evidence.Name("came", hall) }
 
-// Let names the units, in thousandths, of the tasks that quotas let in at a hall's gateways: of their first pushes, and of
-// first tries that were never pushed as there was no room. It is the demand that the decider goes by.
+// Let names the units, in thousandths, of the tasks that quotas let in at a hall's gateways, at their clients' first try: pushed,
+// or not, as there was no room. It is the demand that the decider goes by.
 func Let(hall string) string { return evidence.Name("let", hall) }
 
 // Pushed names the units, in thousandths, of all pushes from a hall to a hall.
--- a/internal/witness/witness.go
+++ b/internal/witness/witness.go
@@ -117,11 +117,11 @@
 
 // Shed takes that a first try was rejected before any push for want of room, by a plan that sheds or by the module after
 // the quota let it in: it is demand like those pushed. It guards a crowded hall, whose gateways turn away what would have to
-// move, against looking merely full. Harm: a repeat that is pushed later counts its task once more, so that, while
-// tasks are turned away, more moves than must; and a client that doesn't mark its repeats counts with each.
+// move, against looking merely full. Repeats count neither here nor when pushed, so that a task counts once; counted when
+// pushed, they had a plan shed 2% more than it must. Harm: a client that doesn't mark its repeats counts with each.
 func (w *Witness) Shed(units float64) { w.let += units * 1000 }
 
-// Pushed takes a push to a server in a hall; first: it is its task's first.
+// Pushed takes a push to a server in a hall; first: it is the first of a task that its client doesn't ask for again.
 func (w *Witness) Pushed(now time.Duration, hall int, units float64, first bool) {
 	h := w.hall(hall)
 	h.pushed += units * 1000
