--- a/internal/failover/judge.go
+++ b/internal/failover/judge.go
@@ -28,8 +28,7 @@
 
 const (
 	// riseOver and easeOver are over how long demand follows what is measured at a hall that serves its own tasks and is
-	// not full: long enough that chance, where few tasks come in, is no flood. With a rise over 1 s a flood that was the
-	// same everywhere moved tasks to and fro, for half a percent of service in one world.
+	// not full: long enough that chance, where few tasks come in, is no flood (over 1 s it moved tasks in vain).
 	riseOver = 2 * time.Second
 	easeOver = 5 * time.Second
 	// tasksOver is over how many pushes at the least, and quietMost the longest that this makes it.
