--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,9 +30,16 @@
 )
 
 // Run serves as the file at a path says, until it is asked to end.
-func Run(path string) error {
+func Run(path string) error { return RunIn(path, "") }
+
+// RunIn is Run of a process that takes part in what processes hold in common, as the charter at a path says; none: it
+// takes no part. A voter needs no file but the charter.
+func RunIn(path, charter string) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else: it would end the program
+	if path == "" && charter != "" {
+		return vote(charter, hup)
+	}
 	told, err := boot.Read(path)
 	if err != nil {
 		return err
@@ -70,6 +77,19 @@
 	if err != nil {
 		return err
 	}
+	common, err := join(charter, log)
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	defer func() {
+		cancel() // what the parts keep on disk is written once their context has ended
+		common.close()
+	}()
+	if err := common.parts(ctx, in); err != nil {
+		_ = listener.Close()
+		return err
+	}
 	go g.Tick(ctx)
 	go list.Watch(ctx)
 	go servers.Sweep(ctx)
@@ -86,6 +106,7 @@
 	go func() {
 		for range hup {
 			in.reload()
+			common.reload()
 		}
 	}()
 
@@ -94,6 +115,7 @@
 	go func() {
 		<-term
 		log.Info("asked to end")
+		go common.resign()
 		clients.Drain(listener)
 		cancel()
 	}()
--- a/internal/gate/errand.go
+++ b/internal/gate/errand.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"harrierhoist/internal/debts/till"
 	"harrierhoist/policy"
 )
 
@@ -57,8 +58,9 @@
 	giveUp  context.CancelFunc // of the push that is out
 	units   float64
 	over    bool
-	repeat  bool     // the client says that it asks again
-	counted *Counted // nil: under its customer alone
+	repeat  bool        // the client says that it asks again
+	claim   *till.Claim // what it owes; nil: nothing is kept of it
+	counted *Counted    // nil: under its customer alone
 }
 
 // Admit takes a task. It is carried by calling Pick until that is final.
@@ -75,6 +77,8 @@
 	g.errands[e.id] = e
 	task := policy.Task{ID: e.id, Lane: t.Lane, Plan: t.Plan, Customer: t.Customer, First: t.First,
 		Width: t.Width, Units: t.Units, Expires: now + t.Patience, Repeat: t.Repeat}
+	e.claim = g.till.Enter(now, task)
+	task.Prefer = e.claim.Prefer()
 	if g.counting != nil {
 		g.byRule(now, e, t, task)
 		return e
@@ -91,6 +95,7 @@
 	now := e.g.enter()
 	defer e.g.leave()
 	e.giveUp()
+	e.claim.Back(now, r.Outcome, r.Billed)
 	if w := e.g.outside.Witness; w != nil {
 		w.Ended(now, e.hall, e.server, r.Outcome, now-e.at)
 	}
@@ -124,6 +129,7 @@
 
 func (e *Errand) close(c Choice) {
 	e.end()
+	e.claim.Ended(c.Verdict == Left)
 	e.choices <- c
 }
 
--- a/internal/pool/shares_test.go
+++ b/internal/pool/shares_test.go
@@ -110,10 +110,26 @@
 	}
 }
 
+// asListed is what of a server the hash was taken over.
+type asListed struct {
+	Server           uint32
+	Stage            policy.Stage
+	Power            float64
+	Since            time.Duration
+	Cell, Hall, Kind int
+}
+
 func write(h *xxhash.Digest, p *Pool, list []Server) {
 	for now := time.Hour; now < time.Hour+5*time.Second; now += time.Second / 4 {
 		part, sharers := p.Part(now, list)
-		_, _ = fmt.Fprintln(h, part, sharers, p.Due(now+time.Minute))
+		was := make([]asListed, len(part))
+		for i, l := range part {
+			was[i] = asListed{l.Server, l.Stage, l.Power, l.Since, l.Cell, l.Hall, l.Kind}
+			if l.Owner != 0 || l.Elective {
+				_, _ = fmt.Fprintln(h, "marked", l)
+			}
+		}
+		_, _ = fmt.Fprintln(h, was, sharers, p.Due(now+time.Minute))
 		for i := range 9 {
 			p.Pushed(now + time.Duration(i)*20*time.Millisecond)
 		}
