--- a/internal/gate/host.go
+++ b/internal/gate/host.go
@@ -20,7 +20,7 @@
 	to := g.servers[server]
 	e.hall = to.Listed.Hall
 	if w := g.outside.Witness; w != nil {
-		w.Pushed(e.at, e.hall, e.units, e.pushes == 1)
+		w.Pushed(e.at, e.hall, e.units, e.pushes == 1 && !e.repeat)
 	}
 	e.claim.Sent(e.hall)
 	c := Choice{Verdict: Push, Server: to, Until: g.start.Add(until - g.origin)}
@@ -38,6 +38,9 @@
 // Reject is a final answer that makes trying again harmless.
 func (g host) Reject(task uint32, away time.Duration) {
 	if e := g.errands[task]; e != nil {
+		if w := g.outside.Witness; w != nil && e.pushes == 0 && !e.repeat && g.module.Passed(task) {
+			w.Shed(e.units) // for room, not for its quota
+		}
 		e.close(Choice{Verdict: Reject, Away: away})
 	}
 }
