--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 	sh -c "$$(sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)"
 
 test:
-	go test -count=1 ./...
+	go test -count=1 $$(go list ./... | grep -v /internal/drill$$)
+	go test -count=1 ./internal/drill
 
 race:
 	GOFLAGS=-race go test -count=1 ./...
