Rows for shedding, for an edge that passes, and changed programs of the parts

The states lacked a plan that sheds and a rule's edge that comes while the process serves. A row may now name the one state it is for; a changed program names the state it is played with. New changed programs: a canary that charges the counts in force, an elective server drawn by a task that must not, a plan's shedding that is not done.

--- a/internal/conformance/change_test.go
+++ b/internal/conformance/change_test.go
@@ -1,6 +1,7 @@
 package conformance
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"os/exec"
@@ -18,7 +19,7 @@
 	root          = "../.."
 )
 
-var failed = regexp.MustCompile(`(?m)^ +--- FAIL: TestRows/plain/(\S+)/(module|process)`)
+var failed = regexp.MustCompile(`(?m)^ +--- FAIL: TestRows/[^/]+/(\S+)/(module|process)`)
 
 // Each changed program is built in place of the real one by an overlay: all rows are played against its module, and
 // some against a process of it. Those named for the change must fail. Each row must be failed by some change, wherever
@@ -36,13 +37,13 @@
 				t.Parallel()
 				places <- true
 				defer func() { <-places }()
-				overlay := changed(t, c)
+				overlay, variant := changed(t, c), strings.ReplaceAll(cmp.Or(c.Variant, Plain.Name), " ", "_")
 				got := map[string]bool{}
 				if len(c.Caught) > 0 {
-					fails(t, got, overlay, "^TestRows$/^plain$/./^module$")
+					fails(t, got, overlay, "^TestRows$/^"+variant+"$/./^module$")
 				}
 				if len(c.Sockets) > 0 {
-					fails(t, got, overlay, "^TestRows$/^plain$/^("+strings.Join(c.Sockets, "|")+")$/^process$")
+					fails(t, got, overlay, "^TestRows$/^"+variant+"$/^("+strings.Join(c.Sockets, "|")+")$/^process$")
 				}
 				for where, rows := range map[string][]string{"module": c.Caught, "process": c.Sockets} {
 					for _, row := range rows {
--- a/internal/conformance/clauses.go
+++ b/internal/conformance/clauses.go
@@ -55,11 +55,14 @@
 	MustNot  []string `toml:"must_not"` // patterns not seen; "X before Y": not until Y is seen
 	// But are the variants that it is not played with, as the part changes the clause on purpose, with the reason.
 	But map[string]string `toml:"but"`
+	// Only is the one variant that it is played with; empty: all that do not stand for their own rows alone.
+	Only string `toml:"only"`
 }
 
 // Change is a changed program that rows must catch: what each edit replaces stands once in its file.
 type Change struct {
 	Name    string   `toml:"name"`
+	Variant string   `toml:"variant"` // that the rows are played with; empty: plain
 	Edits   []Edit   `toml:"edit"`
 	Caught  []string `toml:"caught"`  // rows that fail with it against the module; others may as well
 	Sockets []string `toml:"sockets"` // rows played against a process with it, which all fail
@@ -110,11 +113,13 @@
 			say("row %q: %w", r.ID, err)
 		}
 		for name, why := range r.But {
-			if why == "" || name == Plain.Name ||
-				!slices.ContainsFunc(Variants, func(v Variant) bool { return v.Name == name }) {
+			if why == "" || name == Plain.Name || !played(name) {
 				say("row %q: but %q needs a variant other than plain, and a reason", r.ID, name)
 			}
 		}
+		if r.Only != "" && !played(r.Only) {
+			say("row %q: only %q is no variant", r.ID, r.Only)
+		}
 		if len(r.Event) == 0 || len(r.Must) == 0 {
 			say("row %q: needs an event and what must follow", r.ID)
 		}
@@ -134,6 +139,9 @@
 			say("change %q: needs a name of its own, edits, and rows that catch it", c.Name)
 		}
 		caught[c.Name] = true
+		if c.Variant != "" && !played(c.Variant) {
+			say("change %q: no variant %q", c.Name, c.Variant)
+		}
 		for _, id := range slices.Concat(c.Caught, c.Sockets) {
 			if !rows[id] {
 				say("change %q: no row %q", c.Name, id)
@@ -152,5 +160,10 @@
 	return Plan{}, fmt.Errorf("no plan %q with a rate and a burst", name)
 }
 
+// played tells whether a variant has that name.
+func played(name string) bool {
+	return slices.ContainsFunc(Variants, func(v Variant) bool { return v.Name == name })
+}
+
 // at tells whether a row is played there.
 func (r *Row) at(where string) bool { return r.Where == "both" || r.Where == where }
--- a/internal/conformance/common.go
+++ b/internal/conformance/common.go
@@ -102,6 +102,8 @@
 	over       []string // the log once the voter has gone and the lease is over; nil: it stays
 	key        func(customer uint64) uint64
 	fits       func(customer uint64) bool
+	alone      bool
+	span       time.Duration // that a row waits for until the state has come, with a voter of its own
 	aside      bool
 }
 
@@ -120,16 +122,20 @@
 		}
 		return one
 	}
-	v := Variant{Name: s.name, Text: s.text, Key: s.key, Fits: s.fits, Aside: s.aside}
+	v := Variant{Name: s.name, Text: s.text, Key: s.key, Fits: s.fits, Aside: s.aside, Alone: s.alone}
 	v.Process = func(t testing.TB, l *Launch) {
 		t.Helper()
-		if s.over == nil {
+		if s.over == nil && s.span == 0 {
 			s.ready(t, l, shared(t), leaseLong, nil)
 			return
 		}
 		u := s.begin(t)
 		gone := sync.OnceFunc(u.end)
 		t.Cleanup(gone)
+		if s.over == nil {
+			s.ready(t, l, u, leaseLong, func() { time.Sleep(s.span) })
+			return
+		}
 		s.ready(t, l, u, leaseShort, gone)
 	}
 	return v
--- a/internal/conformance/module.go
+++ b/internal/conformance/module.go
@@ -149,7 +149,11 @@
 // Push and the rest are the module's host.
 func (m *module) Push(task, server uint32, _ time.Duration) {
 	m.pushed[task] = server
-	m.seen.add("push " + decimal(task))
+	faces := []string{"push " + decimal(task)}
+	if server > servers { // one that a variant put beside the row's
+		faces = append(faces, faces[0]+" elective")
+	}
+	m.seen.add(faces...)
 }
 func (m *module) Cancel(task uint32, _ int)           { m.seen.add("cancel " + decimal(task)) }
 func (m *module) Reject(task uint32, _ time.Duration) { m.seen.add("rejected " + decimal(task)) }
--- a/internal/conformance/play.go
+++ b/internal/conformance/play.go
@@ -27,6 +27,9 @@
 	// Aside says that the part makes calls of its own at the counter: those under other names than the row's
 	// customer's are not looked at.
 	Aside bool
+	// Alone says that only rows that name the variant are played with it, as the part changes all others on purpose.
+	Alone bool
+	Never []string // patterns that no row may show with it
 }
 
 // Launch is how a process starts: a variant may add to it.
@@ -89,7 +92,7 @@
 
 // Play plays a row against the module and against a process, each where the row and the variant say so.
 func Play(t *testing.T, tables *Tables, row Row, v Variant) {
-	if row.But[v.Name] != "" {
+	if row.But[v.Name] != "" || row.Only != v.Name && (row.Only != "" || v.Alone) {
 		return // by its nature the part changes it on purpose
 	}
 	if row.at("module") && v.Module != nil {
@@ -103,16 +106,16 @@
 // PlayModule plays a row against the module.
 func PlayModule(t testing.TB, tables *Tables, row Row, v Variant) {
 	t.Helper()
-	play(t, tables, row, func(p Plan) player { return newModule(t, row, p, v) })
+	play(t, tables, row, v, func(p Plan) player { return newModule(t, row, p, v) })
 }
 
 // PlayProcess plays a row against a process of the program.
 func PlayProcess(t testing.TB, tables *Tables, row Row, v Variant) {
 	t.Helper()
-	play(t, tables, row, func(p Plan) player { return newProcess(t, row, p, v) })
+	play(t, tables, row, v, func(p Plan) player { return newProcess(t, row, p, v) })
 }
 
-func play(t testing.TB, tables *Tables, row Row, make func(Plan) player) {
+func play(t testing.TB, tables *Tables, row Row, v Variant, make func(Plan) player) {
 	t.Helper()
 	plan, err := tables.plan(row.Plan)
 	if err != nil {
@@ -134,7 +137,7 @@
 	lines := p.settled(func(lines [][]string) bool { // holds, or does not any more
 		return len(follows(lines[before:], row)) == 0 || len(forbidden(lines[before:], row.MustNot)) > 0
 	}).from(before)
-	for _, wrong := range judge(lines, row, tables.Never) {
+	for _, wrong := range judge(lines, row, slices.Concat(tables.Never, v.Never)) {
 		t.Errorf("%s: %s\nseen: %s", row.Text, wrong, told(lines))
 	}
 }
--- a/internal/conformance/process.go
+++ b/internal/conformance/process.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,6 +78,7 @@
 	servers   []*standin.Server
 	letGo     func() // of the counter; nil: it answers
 	variant   Variant
+	asides    *atomic.Int64 // calls that were not looked at
 	mu        sync.Mutex
 	answers   map[int]chan float64 // by task: the units to report
 }
@@ -88,7 +90,7 @@
 		t.Fatal(err)
 	}
 	p := &process{t: t, plan: plan.Name, width: max(row.Gateways, 1), counter: standin.NewCounter(t),
-		variant: v, answers: map[int]chan float64{}}
+		variant: v, asides: new(atomic.Int64), answers: map[int]chan float64{}}
 	var hosts []string
 	for i := range servers {
 		p.servers = append(p.servers, standin.NewServer(t, p.served))
@@ -140,6 +142,7 @@
 	units, _ := strconv.ParseFloat(words[2], 64)
 	faces := p.windows.call(clock(), name, units)
 	if p.variant.Aside && strings.HasPrefix(faces[0], "count strange ") {
+		p.asides.Add(1)
 		return
 	}
 	p.seen.add(faces...)
--- a/internal/conformance/states.go
+++ b/internal/conformance/states.go
@@ -21,7 +21,9 @@
 
 const (
 	sampleSeed  = 5
-	sample      = 80 // thousandths of the keys
+	sample      = 80     // thousandths of the keys
+	callsPlayed = 20_000 // thousandths: a row makes few calls, and its tasks are to be played
+	edgeSoon    = 2 * time.Second
 	countedTerm = "[counting]\ntry = 1\n[[counting.rule]]\nversion = 1\nkey = [\"customer\"]\n" +
 		"[counting.canary]\nsample = 80\ncalls = 250\ndeadline_s = 600\nwrong = 50\nrejected = 20\n" +
 		"let_in = 20\nbeyond = 20\nleave = 100\nwatch_s = 60\nlead_ms = 1000\n"
@@ -36,14 +38,14 @@
 	return func() []byte {
 		now := time.Duration(time.Now().UnixNano())
 		return counting.Table{Phase: phase, To: byCustomer.Version, Edge: now + edge, Since: now,
-			Rules: []counting.Rule{byCustomer}, Seed: sampleSeed, Trial: counting.Trial{Sample: sample, Calls: 250,
+			Rules: []counting.Rule{byCustomer}, Seed: sampleSeed, Trial: counting.Trial{Sample: sample, Calls: callsPlayed,
 				DeadlineS: 600, WrongThousandths: 50, Rejected: 20, LetIn: 20, Beyond: 20, Leave: 100, WatchS: 60},
 		}.Encode()
 	}
 }
 
 // played has a row's customer in the canary's sample.
-func played(customer uint64) bool {
+func sampled(customer uint64) bool {
 	s, err := canary.NewSample(counting.Rule{}, byCustomer, sampleSeed, sample)
 	if err != nil {
 		return false
@@ -63,6 +65,17 @@
 	return value
 }
 
+// shedding gives a plan by which what comes in at hall-b fits nowhere.
+func shedding() []byte {
+	p := failover.Plan{Rows: map[string]map[string]int{"hall-b": {"hall-b": 1000}},
+		Shed: map[string]int{"hall-b": 1000}, Sound: map[string]int{"hall-a": 1000, "hall-b": 0}}
+	value, err := p.Bytes()
+	if err != nil {
+		panic(err) // the same
+	}
+	return value
+}
+
 func settling() []byte {
 	pair := debts.Pair{Debtor: "south", Creditor: "north"}
 	value, err := debts.Value{Shares: []debts.Share{{Pair: pair, Part: debts.Whole / 2}},
@@ -87,14 +100,20 @@
 			value: planned, says: []string{`"a plan is in force"`}, over: []string{`"no plan in force`}},
 		{name: "canary", text: "a new rule is played on the row's customer beside the old one",
 			hall: "hall-a", terms: countedTerm, table: counting.Name, value: counted(counting.Canary, 0),
-			says: []string{step}, fits: played, aside: true},
+			says: []string{step}, fits: sampled, aside: true},
 		{name: "activation named", text: "the new rule's edge is named and an hour off; the row's customer is still played",
 			hall: "hall-a", terms: countedTerm, table: counting.Name,
-			value: counted(counting.Named, time.Hour), says: []string{step}, fits: played, aside: true},
+			value: counted(counting.Named, time.Hour), says: []string{step}, fits: sampled, aside: true},
 		{name: "activated", text: "past the edge: a rule whose key is the customer, with weight 1, counts by its own names",
 			hall: "hall-a", terms: countedTerm, table: counting.Name,
 			value: counted(counting.Named, -time.Minute), says: []string{step}, key: ruleKey,
-			fits: played, aside: true},
+			fits: sampled, aside: true},
+		{name: "edge passed", text: "the same, with the edge come while the process served", hall: "hall-a",
+			terms: countedTerm, table: counting.Name, value: counted(counting.Named, edgeSoon), span: edgeSoon,
+			says: []string{step}, key: ruleKey, fits: sampled, aside: true},
+		{name: "shedding", text: "a plan sheds all that comes in: nothing is asked, and no other row can hold", alone: true,
+			hall: "hall-b", halls: []string{"hall-b", "hall-a"}, terms: failoverTerm, table: failover.Table,
+			value: shedding, says: []string{`"a plan is in force"`}},
 		{name: "unconfirmed", text: "a canary was heard of, the voter has gone, its lease is over: both rules must allow",
 			hall: "hall-a", terms: countedTerm, table: counting.Name,
 			value: counted(counting.Canary, 0), says: []string{step}, aside: true,
@@ -117,7 +136,7 @@
 	{Name: "preferring", Text: "each task prefers the owner of a further, elective server",
 		Module: elective(preferred)},
 	{Name: "electives beside", Text: "the list has an elective server, and no task prefers its owner",
-		Module: elective(0)},
+		Module: elective(0), Never: []string{"push * elective"}},
 }
 
 const preferred = 2 // the owner of the elective servers
