--- a/internal/debts/till/till.go
+++ b/internal/debts/till/till.go
@@ -65,15 +65,20 @@
 func (l *Till) Reshape(t debts.Terms, site Site) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.shape(t, site)
+}
+
+// shape takes both under the lock: what one caller leaves as it was must be what stands when it is taken, as terms come
+// with SIGHUP and lanes and plans with counting rules as well.
+func (l *Till) shape(t debts.Terms, site Site) {
 	l.terms, l.site, l.roll, l.shares = t, site, debts.NewRoll(t, site.Halls, site.Plans), nil
 }
 
 // Retell takes other terms for the same site.
 func (l *Till) Retell(t debts.Terms) {
 	l.mu.Lock()
-	site := l.site
-	l.mu.Unlock()
-	l.Reshape(t, site)
+	defer l.mu.Unlock()
+	l.shape(t, l.site)
 }
 
 // Resite takes lanes and plans anew: they keep the numbers that they had.
@@ -81,11 +86,13 @@
 	if l == nil {
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	site := Site{Halls: l.site.Halls, Lanes: lanes}
 	for _, p := range plans {
 		site.Plans = append(site.Plans, p.Name)
 	}
-	l.Reshape(l.terms, site)
+	l.shape(l.terms, site)
 }
 
 // Take takes the table: its shares hold until a time of the clock.
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -122,9 +122,6 @@
 // Halls are the halls with weight, in the order of their names.
 func (p Part) Halls() []string { return sorted(p.Weights) }
 
-// Near tells whether all of a hall's tasks stay there.
-func (p *Plan) Near(hall string) bool { return len(p.Rows[hall]) == 0 || p.Rows[hall][hall] == whole }
-
 // Says gives a hall's row in words, in thousandths.
 func (p *Plan) Says(hall string) string {
 	var all []string
--- a/internal/failover/world_test.go
+++ b/internal/failover/world_test.go
@@ -140,3 +140,6 @@
 		t.Errorf("%s is %.3f, not from %.3f to %.3f; the plan: %+v", what, got, least, most, p)
 	}
 }
+
+// Near tells whether all of a hall's tasks stay there.
+func (p *Plan) Near(hall string) bool { return len(p.Rows[hall]) == 0 || p.Rows[hall][hall] == whole }
