Failing tests: a rejected watch is begun again from its version

Cause: session.call returns true (full list) after any failure, a rejected watch among them, so that a fleet behind a discovery of fixed capacity takes two turns each and some gateways get none.

--- a/internal/discovery/overbooked_test.go
+++ b/internal/discovery/overbooked_test.go
@@ -13,12 +13,33 @@
 	"harrierhoist/internal/testing/fakes"
 )
 
-// overbookedAgent takes a call every 0.3 s, and rejects what would wait for its turn longer than its timeout: 2 s, or what
+// overbookedAgent takes a call each turn, and rejects what would wait for its turn longer than its timeout: 2 s, or what
 // a watch says. A call that is given up uses its turn.
 type overbookedAgent struct {
+	turn         time.Duration
+	keepsWatches bool          // a watch that goes on within continuationTime takes no turn, and no call waits for over 2 s
+	changed      chan struct{} // closed with version 2, in which s-2 replaces s-1
+
 	mu       sync.Mutex
 	nextTurn time.Time
-	changed  chan struct{} // closed with version 2, in which s-2 replaces s-1
+	answered map[int]time.Time // by connection, when a watch was last answered on it
+}
+
+// continuationTime is how soon after an answer the next call continues the watch.
+const continuationTime = 200 * time.Millisecond
+
+func newOverbookedAgent(turn time.Duration, keepsWatches bool) *overbookedAgent {
+	return &overbookedAgent{
+		turn: turn, keepsWatches: keepsWatches, changed: make(chan struct{}), answered: map[int]time.Time{},
+	}
+}
+
+// isContinued tells whether a call continues a watch.
+func (a *overbookedAgent) isContinued(call agentCall) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, ok := a.answered[call.connection]
+	return a.keepsWatches && call.isWatch() && ok && time.Since(at) <= continuationTime
 }
 
 // waitForTurn waits for a call's turn, and returns false if the call is rejected.
@@ -33,7 +54,7 @@
 		a.mu.Unlock()
 		return false
 	}
-	a.nextTurn = a.nextTurn.Add(300 * time.Millisecond)
+	a.nextTurn = a.nextTurn.Add(a.turn)
 	a.mu.Unlock()
 	time.Sleep(wait)
 	return true
@@ -45,12 +66,28 @@
 	if ms, err := strconv.Atoi(query.Get("timeout_ms")); err == nil {
 		limit = time.Duration(ms) * time.Millisecond
 	}
+	longestWait := limit
+	if a.keepsWatches {
+		longestWait = min(limit, 2*time.Second)
+	}
 	begun := time.Now()
-	if !a.waitForTurn(limit) {
+	if !a.isContinued(call) && !a.waitForTurn(longestWait) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		return
 	}
-	if query.Get("since") == "1" {
+	if call.isWatch() {
+		defer func() {
+			a.mu.Lock()
+			a.answered[call.connection] = time.Now()
+			a.mu.Unlock()
+		}()
+	}
+	switch query.Get("since") {
+	case "2":
+		time.Sleep(time.Until(begun.Add(limit)))
+		writeAnswer(conn, fakes.FormatList(2, false))
+		return
+	case "1":
 		select {
 		case <-a.changed:
 		case <-time.After(time.Until(begun.Add(limit))):
@@ -72,7 +109,7 @@
 	for _, after := range []time.Duration{time.Second, 2300 * time.Millisecond, 9 * time.Second} {
 		runVirtual(t, "a change after "+after.String(), func(t *testing.T) {
 			t.Cleanup(func() { time.Sleep(10 * time.Second) }) // calls that wait for a turn end
-			agent := &overbookedAgent{changed: make(chan struct{})}
+			agent := newOverbookedAgent(300*time.Millisecond, false)
 			addr, _ := scriptedAgent(listen(t), agent.handle)
 			var watchers []*watched
 			for seed := range int64(6) {
@@ -88,3 +125,71 @@
 		})
 	}
 }
+
+// A discovery takes one call of each gateway in 8 s, and all start at one moment. Once each has had its turn, a change is
+// applied by all within 6 s, in fleets of any size: a watch that is rejected is begun again from its version, and goes on from
+// then on. With full lists requested in its place, each gateway took two turns, and some got none.
+func TestRun_rejectedWatchesOfAFleetTakeTurns(t *testing.T) {
+	for _, gateways := range []int{3, 12, 32, 300} {
+		runVirtual(t, strconv.Itoa(gateways)+" gateways", func(t *testing.T) {
+			t.Cleanup(func() { time.Sleep(10 * time.Second) }) // calls that wait for a turn end
+			agent := newOverbookedAgent(8*time.Second/time.Duration(gateways), true)
+			addr, calls := scriptedAgent(listen(t), agent.handle)
+			go func() {
+				for { // more calls come than the channel holds
+					select {
+					case <-calls:
+					case <-t.Context().Done():
+						return
+					}
+				}
+			}()
+			var watchers []*watched
+			for seed := range gateways {
+				watchers = append(watchers, startWatcher(t, addr, options{isPolled: true, known: fullList(1, "s-1"), seed: int64(seed) + 1}))
+			}
+			time.Sleep(14 * time.Second)
+			close(agent.changed)
+			time.Sleep(6 * time.Second)
+			synctest.Wait()
+			late := 0
+			for _, w := range watchers {
+				if chosenServer(w.dispatcher) != "s-2" {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("%d of %d gateways have not applied the change after 6 s", late, gateways)
+			}
+		})
+	}
+}
+
+// A rejected watch is begun again from its version, and soon: where discovery is polled, a gateway that does not ask for longer
+// counts as told at once. A rejected call for the full list is followed by another one.
+func TestRun_rejectedCallIsRepeatedAsItWas(t *testing.T) {
+	runVirtualInEachMode(t, "rejected", func(t *testing.T, isPolled bool) {
+		addr, calls := scriptedAgent(listen(t), func(call agentCall, conn net.Conn) {
+			if call.number == 2 {
+				writeFull(conn, 7, "s-1")
+				return
+			}
+			agentFailures["503"](conn)
+		})
+		startWatcher(t, addr, options{isPolled: isPolled})
+		if first, second := nextCall(t, calls), nextCall(t, calls); first.isWatch() || second.isWatch() {
+			t.Error("a watch was begun before there was a list")
+		}
+		previous := nextCall(t, calls)
+		for range 20 {
+			call := nextCall(t, calls)
+			if !call.isWatchFrom(7) {
+				t.Fatalf("after a rejected watch %q was requested", call.query)
+			}
+			if pause := call.at.Sub(previous.at); pause > 1200*time.Millisecond {
+				t.Errorf("called again after %v", pause)
+			}
+			previous = call
+		}
+	})
+}
