--- a/cmd/harrierhoist/gateway_test.go
+++ b/cmd/harrierhoist/gateway_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -206,3 +207,8 @@
 func answering(value string) func([]string) string {
 	return func([]string) string { return fakes.FormatValue(value, 1) }
 }
+
+// queryListWith is the list of a query with a deadline.
+func queryListWith(deadline time.Duration) string { return "c=look,t=wide,d=" + milliseconds(deadline) }
+
+func milliseconds(span time.Duration) string { return strconv.FormatInt(span.Milliseconds(), 10) }
