Pipelined requests around SIGTERM are read and answered, late ones rejected

Cause: 0.7 s after SIGTERM no command behind others was read any more, and the last answer ended the connection over what lay unread. Change: from then on what is read behind other commands is rejected at once instead (never forwarded, so harmless to repeat), until 2.5 s after SIGTERM or 40 ms before SIGKILL; the connection ends with its last answer in the first pause. TestDrain_answersConnectionsInTheBacklog now waits for the end of forwarding, which is the moment it was written for; what it wants answered is the same. Open: late requests behind sixteen that hang are not read (docs/ROADMAP.md).

--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -81,7 +81,7 @@
 	}
 	c.discard(command)
 	go c.answer(turn, func() error { return c.conn.WriteLine(reply) })
-	if reply != replyPong {
+	if reply != replyPong && !c.listener.drain.isForwardOver() {
 		time.Sleep(rejectedCommandPause) // a client that sends such commands on and on would take all processor time
 	}
 	return true
@@ -89,6 +89,9 @@
 
 // admitCommand parses a command and admits the request under the same settings, or returns a line that answers it at once.
 func (c *client) admitCommand(command *pendingCommand, age time.Duration) (*dispatch.Request, *upstream.Command, string) {
+	if len(command.Words) > 1 && c.conn.rejectsCommand() {
+		return nil, nil, rejectionLine(0)
+	}
 	c.listener.settingsMu.RLock()
 	defer c.listener.settingsMu.RUnlock()
 	spec, message, reply := c.listener.parse(command, age)
--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -85,6 +85,14 @@
 	c.lastUsed, c.unanswered = time.Now(), false
 }
 
+// rejectsCommand reports whether the command that was just read is to be rejected because a drain has come far. The first of a
+// connection is executed still.
+func (c *connection) rejectsCommand() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (!c.unanswered || c.commands > 1) && c.drain.isForwardOver()
+}
+
 // commandsInFlight returns how many commands have no answer yet.
 func (c *connection) commandsInFlight() int {
 	c.mu.Lock()
--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -14,12 +14,16 @@
 	acceptAfterTerm = 450 * time.Millisecond
 	// backlogTimeout: a connection of the backlog is accepted within this of the one before.
 	backlogTimeout = 100 * time.Millisecond
-	// readAfterTerm: what arrives later may be found unanswered by SIGKILL.
-	readAfterTerm = 700 * time.Millisecond
+	// forwardAfterTerm: what is read later behind other commands is rejected, as SIGKILL may find it unanswered.
+	forwardAfterTerm = 700 * time.Millisecond
 	// killGrace: SIGKILL comes this long after the longest deadline, or after writeTimeout if that is shorter, and no sooner.
 	killGrace = 700 * time.Millisecond
 	// killMargin: all that is read late is decided this long before SIGKILL.
 	killMargin = 100 * time.Millisecond
+	// rejectTime: commands are read for this much longer; a client that never pauses in it has to be closed on.
+	rejectTime = 1800 * time.Millisecond
+	// readMargin: reading ends this long before SIGKILL.
+	readMargin = 40 * time.Millisecond
 	// drainIdleTimeout: a client that was answered within this asks again, and its next answer closes its connection.
 	drainIdleTimeout = 250 * time.Millisecond
 	// drainPollInterval is the time between searches for connections that have been idle for longer.
@@ -28,17 +32,30 @@
 
 // drainState is how far a drain has come.
 type drainState struct {
-	active      atomic.Bool   // the last answer on a connection closes it
-	readUntil   time.Time     // then no more is read behind what is in flight; set before active
-	answerUntil time.Time     // by then everything read late is answered; set before active
-	acceptDone  chan struct{} // closed once Serve accepts no more
-	finished    chan struct{} // closed once Drain waits for no client any more
+	active       atomic.Bool   // the last answer on a connection closes it
+	forwardUntil time.Time     // then what is read behind other commands is rejected; set before active
+	readUntil    time.Time     // then no more is read behind what is in flight; set before active
+	answerUntil  time.Time     // by then everything read late is answered; set before active
+	acceptDone   chan struct{} // closed once Serve accepts no more
+	finished     chan struct{} // closed once Drain waits for no client any more
 }
 
 func newDrainState() *drainState {
 	return &drainState{acceptDone: make(chan struct{}), finished: make(chan struct{})}
 }
 
+// setTimes sets how far the drain goes, for a drain that began at a time and a SIGKILL that comes killDelay later.
+func (d *drainState) setTimes(began time.Time, killDelay time.Duration) {
+	d.forwardUntil = began.Add(forwardAfterTerm)
+	d.readUntil = began.Add(min(forwardAfterTerm+rejectTime, killDelay-readMargin))
+	d.answerUntil = began.Add(killDelay - killMargin)
+}
+
+// isForwardOver reports that commands behind others on a connection are rejected. They are read still: an orderly end of the
+// connection would acknowledge those that lie in the socket, and lose them. Rejected at once they soon leave a pause, in which
+// the last answer closes the connection.
+func (d *drainState) isForwardOver() bool { return d.active.Load() && time.Now().After(d.forwardUntil) }
+
 // isReadOver reports that no command is read any more on a connection, except one that was begun, or the first. A client that
 // sends on and on is stopped by this: otherwise only a pause would close its connection.
 func (d *drainState) isReadOver() bool { return d.active.Load() && time.Now().After(d.readUntil) }
@@ -58,7 +75,7 @@
 	defer close(l.drain.finished)
 	began := time.Now()
 	time.Sleep(acceptAfterTerm)
-	l.drain.readUntil, l.drain.answerUntil = began.Add(readAfterTerm), began.Add(l.killDelay()-killMargin)
+	l.drain.setTimes(began, l.killDelay())
 	// Before the drain is active: accept sets a deadline of its own then, which this would undo.
 	if d, ok := socket.(deadlineSetter); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
 		_ = socket.Close()
--- a/internal/listener/drain_fixture_test.go
+++ b/internal/listener/drain_fixture_test.go
@@ -46,7 +46,8 @@
 
 // activateDrain makes the drain active, as Drain does when clients have stopped connecting. Commands are read for readTime more.
 func (d *drainFixture) activateDrain(readTime time.Duration) {
-	d.drain.readUntil, d.drain.answerUntil = time.Now().Add(readTime), time.Now().Add(time.Hour)
+	d.drain.forwardUntil, d.drain.readUntil = time.Now().Add(readTime), time.Now().Add(readTime)
+	d.drain.answerUntil = time.Now().Add(time.Hour)
 	d.drain.active.Store(true)
 }
 
--- a/internal/listener/drain_test.go
+++ b/internal/listener/drain_test.go
@@ -29,7 +29,7 @@
 	inBacklog.send(query(3))
 	alsoInBacklog.send(query(4))
 	finished := f.startDrain()
-	fakes.Eventually(t, "the end of reading", f.drain.isReadOver)
+	fakes.Eventually(t, "the end of forwarding", f.drain.isForwardOver)
 	close(release[1])
 	for i, c := range []*testClient{served, waiting, inBacklog, alsoInBacklog} {
 		c.want([]string{"value 1", "value 2", "value 3", "value 4"}[i])
