--- a/internal/listener/drain_fixture_test.go
+++ b/internal/listener/drain_fixture_test.go
@@ -19,12 +19,9 @@
 	served chan error // what Serve returned
 }
 
-func newDrainFixture(
-	t *testing.T, maxConnections int, setHooks func(*tappedConn), answer func(words []string) string,
-) *drainFixture {
-	t.Helper()
-	t.Parallel()
-	settings := policy.Settings{
+// drainSettings have one class, with the longest deadline that counts.
+func drainSettings() policy.Settings {
+	return policy.Settings{
 		Gateways: 1, Zones: 1, ClockTick: 2 * time.Millisecond, MaxAttempts: 5, CanCancel: true, RetryAfter: true,
 		MaxRetryAfter: 2 * time.Second, DrainGrace: time.Second, ArrivalSlack: 8 * time.Millisecond, OverloadSpan: time.Second,
 		Classes: []policy.TrafficClass{
@@ -32,8 +29,15 @@
 		},
 		Plans: []policy.Plan{{Name: "wide", Rate: 100000, Burst: 100000}},
 	}
+}
+
+func newDrainFixture(
+	t *testing.T, maxConnections int, setHooks func(*tappedConn), answer func(words []string) string,
+) *drainFixture {
+	t.Helper()
+	t.Parallel()
 	server := fakes.NewServer(t, answer)
-	f := fixtureOptions{settings: settings, maxConnections: maxConnections}.newFixture(t, server)
+	f := fixtureOptions{settings: drainSettings(), maxConnections: maxConnections}.newFixture(t, server)
 	f.Ready()
 	d := &drainFixture{
 		fixture: f, server: server, served: make(chan error, 1),
--- a/internal/listener/drain_test.go
+++ b/internal/listener/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -164,3 +165,42 @@
 		})
 	}
 }
+
+// A configuration that shortens the longest deadline during a drain brings SIGKILL nearer; one that lengthens it does not put
+// SIGKILL off.
+func TestDrain_reloadThatShortensTheLongestDeadlineCounts(t *testing.T) {
+	for name, row := range map[string]struct{ timeouts []time.Duration }{
+		"before it is active": {[]time.Duration{300 * time.Millisecond}},
+		"there and back":      {[]time.Duration{300 * time.Millisecond, 9 * time.Second}},
+	} {
+		for _, whileActive := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, active %v", name, whileActive), func(t *testing.T) {
+				f := newDrainFixture(t, 8, nil, answerHello)
+				began := time.Now()
+				finished := make(chan struct{})
+				go func() {
+					f.Drain(f.tappedListener)
+					close(finished)
+				}()
+				time.Sleep(50 * time.Millisecond)
+				if whileActive {
+					fakes.Eventually(t, "the drain", f.drain.active.Load)
+				}
+				for _, timeout := range row.timeouts {
+					settings := drainSettings()
+					for i := range settings.Classes {
+						settings.Classes[i].Timeout = timeout
+					}
+					if _, err := f.Reconfigure(settings); err != nil {
+						t.Fatal(err)
+					}
+				}
+				fakes.Eventually(t, "the drain", f.drain.active.Load)
+				if got, most := f.drain.boundTimeout(time.Hour), time.Until(began.Add(time.Second)); got > most {
+					t.Errorf("a request that is read now has a timeout of %v, and SIGKILL comes after %v", got, most)
+				}
+				f.awaitDrained(finished)
+			})
+		}
+	}
+}
