A reload during a drain shortens the times of the drain with the longest deadline

Change: the times of a drain are one value, set at SIGTERM, and replaced where settings with a shorter longest deadline come; longer ones do not put SIGKILL off.

--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -32,38 +32,59 @@
 
 // drainState is how far a drain has come.
 type drainState struct {
-	active       atomic.Bool   // the last answer on a connection closes it
-	forwardUntil time.Time     // then what is read behind other commands is rejected; set before active
-	readUntil    time.Time     // then no more is read behind what is in flight; set before active
-	answerUntil  time.Time     // by then everything read late is answered; set before active
-	acceptDone   chan struct{} // closed once Serve accepts no more
-	finished     chan struct{} // closed once Drain waits for no client any more
+	active     atomic.Bool                // the last answer on a connection closes it
+	times      atomic.Pointer[drainTimes] // set before active
+	acceptDone chan struct{}              // closed once Serve accepts no more
+	finished   chan struct{}              // closed once Drain waits for no client any more
+}
+
+// drainTimes are until when a drain does what.
+type drainTimes struct {
+	began        time.Time
+	killDelay    time.Duration
+	forwardUntil time.Time // then what is read behind other commands is rejected
+	readUntil    time.Time // then no more is read behind what is in flight
+	answerUntil  time.Time // by then everything read late is answered
+}
+
+// newDrainTimes returns the times of a drain that began at a time, where SIGKILL comes killDelay later.
+func newDrainTimes(began time.Time, killDelay time.Duration) *drainTimes {
+	return &drainTimes{
+		began: began, killDelay: killDelay, forwardUntil: began.Add(forwardAfterTerm),
+		readUntil:   began.Add(min(forwardAfterTerm+rejectTime, killDelay-readMargin)),
+		answerUntil: began.Add(killDelay - killMargin),
+	}
 }
 
 func newDrainState() *drainState {
 	return &drainState{acceptDone: make(chan struct{}), finished: make(chan struct{})}
 }
 
-// setTimes sets how far the drain goes, for a drain that began at a time and a SIGKILL that comes killDelay later.
-func (d *drainState) setTimes(began time.Time, killDelay time.Duration) {
-	d.forwardUntil = began.Add(forwardAfterTerm)
-	d.readUntil = began.Add(min(forwardAfterTerm+rejectTime, killDelay-readMargin))
-	d.answerUntil = began.Add(killDelay - killMargin)
+// limitKillDelay has a drain that has begun expect SIGKILL at the earliest of the delays that settings have asked for since. It
+// is called with the lock of the settings held, and nowhere else after the begin.
+func (d *drainState) limitKillDelay(killDelay time.Duration) {
+	if times := d.times.Load(); times != nil && killDelay < times.killDelay {
+		d.times.Store(newDrainTimes(times.began, killDelay))
+	}
 }
 
 // isForwardOver reports that commands behind others on a connection are rejected. They are read still: an orderly end of the
 // connection would acknowledge those that lie in the socket, and lose them. Rejected at once they soon leave a pause, in which
 // the last answer closes the connection.
-func (d *drainState) isForwardOver() bool { return d.active.Load() && time.Now().After(d.forwardUntil) }
+func (d *drainState) isForwardOver() bool {
+	return d.active.Load() && time.Now().After(d.times.Load().forwardUntil)
+}
 
 // isReadOver reports that no command is read any more on a connection, except one that was begun, or the first. A client that
 // sends on and on is stopped by this: otherwise only a pause would close its connection.
-func (d *drainState) isReadOver() bool { return d.active.Load() && time.Now().After(d.readUntil) }
+func (d *drainState) isReadOver() bool {
+	return d.active.Load() && time.Now().After(d.times.Load().readUntil)
+}
 
 // boundTimeout returns a request's timeout, cut during a drain to the time by which all is to be answered.
 func (d *drainState) boundTimeout(timeout time.Duration) time.Duration {
 	if d.active.Load() {
-		timeout = min(timeout, time.Until(d.answerUntil))
+		timeout = min(timeout, time.Until(d.times.Load().answerUntil))
 	}
 	return timeout
 }
@@ -74,8 +95,10 @@
 func (l *Listener) Drain(socket net.Listener) {
 	defer close(l.drain.finished)
 	began := time.Now()
+	l.settingsMu.Lock()
+	l.drain.times.Store(newDrainTimes(began, l.killDelay()))
+	l.settingsMu.Unlock()
 	time.Sleep(acceptAfterTerm)
-	l.drain.setTimes(began, l.killDelay())
 	// Before the drain is active: accept sets a deadline of its own then, which this would undo.
 	if d, ok := socket.(deadlineSetter); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
 		_ = socket.Close()
@@ -99,8 +122,8 @@
 		l.connections.open.Wait()
 	}()
 	for time.Since(began) < l.parser.Load().longestTimeout()+killGrace+writeTimeout {
-		l.connections.closeIdle(isDueInDrain)      // also while a connection waits for a slot
-		if time.Now().After(l.drain.answerUntil) { // clients that connect on and on
+		l.connections.closeIdle(isDueInDrain)                   // also while a connection waits for a slot
+		if time.Now().After(l.drain.times.Load().answerUntil) { // clients that connect on and on
 			_ = socket.Close() // it may be closed already
 		}
 		select {
--- a/internal/listener/drain_fixture_test.go
+++ b/internal/listener/drain_fixture_test.go
@@ -50,8 +50,8 @@
 
 // activateDrain makes the drain active, as Drain does when clients have stopped connecting. Commands are read for readTime more.
 func (d *drainFixture) activateDrain(readTime time.Duration) {
-	d.drain.forwardUntil, d.drain.readUntil = time.Now().Add(readTime), time.Now().Add(readTime)
-	d.drain.answerUntil = time.Now().Add(time.Hour)
+	readUntil := time.Now().Add(readTime)
+	d.drain.times.Store(&drainTimes{forwardUntil: readUntil, readUntil: readUntil, answerUntil: time.Now().Add(time.Hour)})
 	d.drain.active.Store(true)
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -64,6 +64,7 @@
 	settings, err := l.dispatcher.Reconfigure(settings)
 	if err == nil {
 		l.parser.Store(newRequestParser(&settings))
+		l.drain.limitKillDelay(l.killDelay())
 	}
 	return settings, err
 }
