Failing tests: a socket that cannot be opened here says nothing of the server

Cause: upstream.unsentOutcome and Pool.checkHealth report EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL and ENETUNREACH of a dial as the server's failure to connect, for which good servers are ejected. Injected by net.Dialer's Control.

--- a/internal/upstream/connections.go
+++ b/internal/upstream/connections.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"harrierhoist/internal/dispatch"
@@ -43,6 +44,7 @@
 type connectionSet struct {
 	connectTimeout, idleTimeout time.Duration
 	maxConnections              int
+	controlSocket               func(network, address string, raw syscall.RawConn) error // of each dial; nil but in tests
 
 	mu     sync.Mutex
 	open   int // connections that are up, or coming up
@@ -69,7 +71,7 @@
 	if !s.reserveSlot() {
 		return nil, errPoolExhausted
 	}
-	dialer := net.Dialer{Timeout: s.connectTimeout, Deadline: deadline}
+	dialer := net.Dialer{Timeout: s.connectTimeout, Deadline: deadline, Control: s.controlSocket}
 	conn, err := dialer.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		s.releaseSlot()
