A socket that cannot be opened here is no failure of the server

Cause: unsentOutcome knew of one local cause only, the pool's own limit. Change: isLocalFailure names the errors of a dial that tell of this machine; such an attempt was not sent, and its server is not judged.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"harrierhoist/internal/dispatch"
 	"harrierhoist/internal/resp"
 	"harrierhoist/policy"
@@ -82,12 +84,25 @@
 	}
 }
 
+// isLocalFailure tells whether a connection did not come up for a cause on this machine: no connection to spare, no descriptor,
+// memory, port or route. Cost: a server behind a route that is missing for good is not ejected; its attempts go elsewhere.
+func isLocalFailure(err error) bool {
+	for _, cause := range []error{
+		errPoolExhausted, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.ENETUNREACH,
+	} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // unsentOutcome is the outcome of an attempt that never reached a server to its last byte. One that ran out of the time in
 // which it could be retried says nothing of the server, nor does one for which we had no connection to spare: a good server
 // would be ejected for it.
 func unsentOutcome(decision *dispatch.Decision, err error) policy.Outcome {
 	isTooLateForRetry := decision.WriteDeadline.Before(decision.Deadline) && !time.Now().Before(decision.WriteDeadline)
-	if decision.Context.Err() != nil || errors.Is(err, errPoolExhausted) || isTooLateForRetry {
+	if decision.Context.Err() != nil || isLocalFailure(err) || isTooLateForRetry {
 		return policy.NotSent
 	}
 	return policy.ConnectFailed
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,6 +47,9 @@
 func (p *Pool) checkHealth(server dispatch.Server) dispatch.Result {
 	ctx, key, deadline := context.Background(), keyOf(server), time.Now().Add(p.connectTimeout)
 	conn, err := p.connections.acquire(ctx, key, deadline)
+	if isLocalFailure(err) {
+		return dispatch.Result{Outcome: policy.NotSent}
+	}
 	if err != nil {
 		return dispatch.Result{Outcome: policy.ConnectFailed}
 	}
