Failing test: late requests behind hanging ones get answers before SIGKILL

Cause: sixteen requests in hand hold the reader (client.inFlightTokens), and nothing ends those whose deadlines pass SIGKILL. On this code the client gets no answer at all and a reset at SIGKILL, queries and submits.

--- /dev/null
+++ b/cmd/harrierhoist/hanging_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Requests that hang at a server past SIGKILL are in hand at SIGTERM, as many as a connection may have. Those that arrive behind
+// them after 0.7 s get their answers before SIGKILL all the same, and so those before them.
+func TestTerminate_lateRequestsBehindHangingOnesAreAnswered(t *testing.T) {
+	t.Parallel()
+	for name, command := range map[string]func() string{
+		"queries": func() string { return queryCommand(longQueryList) },
+		"submits": func() string { return strings.Replace(submitCommand("b"), "d=5000", "d=9000", 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const inHand, late = 16, 40
+			gateway := startGateway(t, 1024, func([]string) string { return "" })
+			c := gateway.connect()
+			for range inHand {
+				c.send(command())
+			}
+			gateway.server.NextCommand(t)
+			time.Sleep(300 * time.Millisecond) // more follow, as many as the gateway lets one server have
+			gateway.terminate()
+			kill := time.AfterFunc(3700*time.Millisecond, func() { _ = gateway.process.Process.Kill() })
+			defer kill.Stop()
+			time.Sleep(time.Second)
+			attempts := gateway.server.PendingCommands()
+			for range late {
+				c.send(command())
+			}
+			reader := continuousClient{client: c}
+			for range inHand + late {
+				if err := reader.readWholeAnswer(); err != nil && !strings.HasPrefix(err.Error(), "-") {
+					t.Fatalf("%d answers, then %v", reader.answered, err)
+				}
+				reader.answered++
+			}
+			if reader.rejected < late {
+				t.Errorf("%d of %d late requests were rejected", reader.rejected, late)
+			}
+			if _, err := c.in.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection ended with %v", err)
+			}
+			_ = c.Close()
+			gateway.waitForCleanExit()
+			if n := gateway.server.PendingCommands(); n > attempts && name == "submits" { // queries are retried
+				t.Errorf("%d attempts of late requests", n-attempts)
+			}
+		})
+	}
+}
