Late requests behind hanging ones are read, rejected, and answered before SIGKILL

Cause: sixteen requests in hand held the reader, and nothing ended those whose deadlines pass SIGKILL. Requests in hand with nobody behind them keep their time, as before.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// GiveUp terminates the request and abandons its attempt, whose outcome is still reported: the process is about to be killed.
+// After the final decision it does nothing.
+func (r *Request) GiveUp() {
+	now := r.dispatcher.lock()
+	defer r.dispatcher.unlock()
+	if r.completed {
+		return
+	}
+	r.finish(Decision{Action: Terminate})
+	r.dispatcher.gateway.HandleDisconnect(now, r.id)
+	if r.current != nil {
+		r.current.abandon()
+	}
+}
+
 // finish completes the request by a final decision.
 func (r *Request) finish(decision Decision) {
 	r.complete()
--- a/internal/listener/client.go
+++ b/internal/listener/client.go
@@ -19,6 +19,7 @@
 	malformedCloseTimeout = time.Second           // how long a client has to read the answer to a malformed command
 	rejectedCommandPause  = 10 * time.Millisecond // between the commands of a client, after one that was answered at once
 	maxInFlightPerConn    = 16                    // requests in flight on a connection: clients send one, floods send hundreds
+	maxRejectedPerConn    = 64                    // commands read behind these late in a drain, and rejected
 )
 
 // client reads the commands of one connection and has them answered in order.
@@ -26,6 +27,7 @@
 	listener       *Listener
 	conn           *connection
 	inFlightTokens chan struct{}      // one for each command that may yet be in flight
+	rejectedTokens chan struct{}      // one for each command that may yet be rejected behind these
 	pipeline       textproto.Pipeline // puts the answers in the order of the commands
 
 	mu       sync.Mutex                     // guards requests
@@ -35,11 +37,15 @@
 func newClient(l *Listener, conn *resp.Conn) *client {
 	c := &client{
 		listener: l, conn: newConnection(conn, l.drain), inFlightTokens: make(chan struct{}, maxInFlightPerConn),
-		requests: map[*dispatch.Request]struct{}{},
+		rejectedTokens: make(chan struct{}, maxRejectedPerConn), requests: map[*dispatch.Request]struct{}{},
 	}
+	c.conn.giveUp = c.giveUp
 	for range maxInFlightPerConn {
 		c.inFlightTokens <- struct{}{}
 	}
+	for range maxRejectedPerConn {
+		c.rejectedTokens <- struct{}{}
+	}
 	return c
 }
 
@@ -47,13 +53,57 @@
 // connection.
 func (c *client) serve() {
 	defer c.disconnect()
-	for c.conn.awaitCommand() && c.conn.waitConnected(c.inFlightTokens, nil) {
+	for c.conn.awaitCommand() && c.awaitToken() {
 		if !c.serveCommand() {
 			return
 		}
 	}
 }
 
+// awaitToken waits until one more command may be in flight. Once a drain forwards no more, some are read beyond that: they would
+// be lost behind requests that hang. It returns false if the client disconnects.
+func (c *client) awaitToken() bool {
+	select {
+	case <-c.inFlightTokens:
+		return true
+	default:
+	}
+	ticker := time.NewTicker(disconnectPollInterval)
+	defer ticker.Stop()
+	for {
+		var rejectedTokens chan struct{}
+		if c.listener.drain.isForwardOver() {
+			rejectedTokens = c.rejectedTokens
+		}
+		select {
+		case <-c.inFlightTokens:
+			return true
+		case <-rejectedTokens:
+			return true
+		case <-ticker.C:
+			if c.conn.IsPeerClosed() {
+				return false
+			}
+		}
+	}
+}
+
+// returnToken gives a token back: to those in flight first, as it is not known which a command had.
+func (c *client) returnToken() {
+	select {
+	case c.inFlightTokens <- struct{}{}:
+	default:
+		c.rejectedTokens <- struct{}{}
+	}
+}
+
+// giveUp has the requests in flight answered as failed.
+func (c *client) giveUp() {
+	for _, request := range c.openRequests() {
+		request.GiveUp()
+	}
+}
+
 // serveCommand reads one command and starts its execution. It returns false if nothing more is to be read.
 func (c *client) serveCommand() bool {
 	command, err := c.readCommand()
@@ -132,7 +182,7 @@
 	}
 	c.conn.endCommand()
 	c.pipeline.EndResponse(turn)
-	c.inFlightTokens <- struct{}{}
+	c.returnToken()
 }
 
 // answerUnreadable answers a command that could not be read, in its turn, and closes the connection. A partial command has no
--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -18,13 +18,15 @@
 // reader, its workers and those who close idle connections share it.
 type connection struct {
 	*resp.Conn
-	drain *drainState
+	drain  *drainState
+	giveUp func() // has the requests in flight answered as failed
 
 	mu         sync.Mutex // guards the fields up to the next blank line; taken after connectionTable.mu
 	commands   int        // commands in flight: begun to be read, and not answered
 	lastUsed   time.Time  // when it was accepted, or when its latest answer was written
 	unanswered bool       // nothing was answered yet
 	closed     bool       // it has ended, or its sending half has: no further command is counted
+	rejects    bool       // commands are rejected behind those in flight
 	closedAt   time.Time  // when the last answer of a drain closed its sending half; zero if none did
 
 	isCountedAhead bool // of the reader alone: it has read ahead into the next command, which is counted
@@ -90,7 +92,16 @@
 func (c *connection) rejectsCommand() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return (!c.unanswered || c.commands > 1) && c.drain.isForwardOver()
+	isRejected := (!c.unanswered || c.commands > 1) && c.drain.isForwardOver()
+	c.rejects = c.rejects || isRejected
+	return isRejected
+}
+
+// hasRejectedBehind reports whether rejections wait behind other commands.
+func (c *connection) hasRejectedBehind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rejects && c.commands > 1
 }
 
 // commandsInFlight returns how many commands have no answer yet.
--- a/internal/listener/connections.go
+++ b/internal/listener/connections.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// giveUpBeforeRejected gives up the requests behind which rejections wait.
+func (t *connectionTable) giveUpBeforeRejected() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.connections {
+		if c.hasRejectedBehind() {
+			c.giveUp()
+		}
+	}
+}
+
 // unansweredCommands returns how many commands have no answer yet.
 func (t *connectionTable) unansweredCommands() (count int) {
 	t.mu.Lock()
--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -91,7 +91,8 @@
 
 // Drain accepts connections for a while, then only those of the backlog, closes each connection with an answer, or where it
 // stays idle, and waits until all commands are answered. It gives up only long after SIGKILL is due: a command that SIGKILL
-// finds unanswered came early and has a long deadline, or is not read any more; given up here it would be lost.
+// finds unanswered came early and has a long deadline. Where others that came late wait for its answer, it is answered as
+// failed before SIGKILL: those would be lost with it.
 func (l *Listener) Drain(socket net.Listener) {
 	defer close(l.drain.finished)
 	began := time.Now()
@@ -125,6 +126,7 @@
 		l.connections.closeIdle(isDueInDrain)                   // also while a connection waits for a slot
 		if time.Now().After(l.drain.times.Load().answerUntil) { // clients that connect on and on
 			_ = socket.Close() // it may be closed already
+			l.connections.giveUpBeforeRejected()
 		}
 		select {
 		case <-done:
