--- a/internal/listener/acceptbackoff_test.go
+++ b/internal/listener/acceptbackoff_test.go
@@ -3,11 +3,14 @@
 import (
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"harrierhoist/internal/testing/fakes"
 )
 
 // exhaustedListener has no file descriptor for a connection until so many idle connections were closed.
@@ -41,3 +44,69 @@
 		t.Errorf("logged %v", logs.All())
 	}
 }
+
+// failingListener fails to accept for each of its failures, and then accepts.
+type failingListener struct {
+	*net.TCPListener
+	mu       sync.Mutex
+	failures []syscall.Errno
+}
+
+func (l *failingListener) fail(failures ...syscall.Errno) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = append(l.failures, failures...)
+}
+
+// next takes the next failure; 0: there is none.
+func (l *failingListener) next() (failure syscall.Errno) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.failures) > 0 {
+		failure, l.failures = l.failures[0], l.failures[1:]
+	}
+	return failure
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if failure := l.next(); failure != 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", failure)}
+	}
+	return l.TCPListener.Accept()
+}
+
+// Accepting fails for a moment in each way that the system has: the clients that connect then are served all the same, in
+// service and in a drain.
+func TestAccept_failuresForAMomentLoseNobody(t *testing.T) {
+	failures := []syscall.Errno{
+		syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.EPROTO,
+		syscall.ECONNABORTED, syscall.ENFILE,
+	}
+	server := fakes.NewServer(t, answerHello)
+	f := fixtureOptions{settings: drainSettings(), maxConnections: 8}.newFixture(t, server)
+	f.Ready()
+	socket := &failingListener{TCPListener: f.socket.(*net.TCPListener)}
+	socket.fail(failures...)
+	served := make(chan error, 1)
+	go func() { served <- f.Serve(socket) }()
+	c := f.dial()
+	c.send(query(1))
+	c.want("hello")
+	socket.fail(failures...)
+	finished := make(chan struct{})
+	go func() {
+		f.Drain(socket)
+		close(finished)
+	}()
+	for range 3 {
+		late := f.dial()
+		late.send(query(2))
+		late.want("hello")
+		_ = late.Close()
+	}
+	_ = c.Close()
+	<-finished
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
