--- a/internal/settlement/journal/journal.go
+++ b/internal/settlement/journal/journal.go
@@ -25,6 +25,7 @@
 const (
 	fileName  = "debts"
 	slotCount = 3
+	firstSlot = 1         // of the first record
 	slotSize  = 512 << 10 // bytes: the pairs of 64 partners with names of 64 letters
 
 	// A record's header: sequence number, length of the body, checksum of the body xor the sequence number; 8 bytes each,
@@ -79,7 +80,7 @@
 
 // load takes the latest of the complete records.
 func (j *Journal) load() error {
-	hasData := false
+	hasData, isCutOff := false, false
 	for slot := range int64(slotCount) {
 		buffer := make([]byte, slotSize)
 		n, err := j.file.ReadAt(buffer, slot*slotSize)
@@ -87,19 +88,33 @@
 			return err
 		}
 		buffer = buffer[:n]
-		hasData = hasData || slices.ContainsFunc(buffer, func(c byte) bool { return c != 0 })
+		if slices.ContainsFunc(buffer, func(c byte) bool { return c != 0 }) {
+			isCutOff = !hasData && slot == firstSlot && isFirstRecordCutOff(buffer)
+			hasData = true
+		}
 		sequence, r, isComplete := decodeRecord(buffer)
 		if isComplete && sequence > j.sequence {
 			j.sequence, j.slot, j.syncedSlot = sequence, slot, slot
 			j.ledgerID, j.balances = r.LedgerID, r.Balances
 		}
 	}
-	if hasData && j.sequence == 0 {
+	if hasData && j.sequence == 0 && !isCutOff {
 		return ErrNoCompleteRecord
 	}
 	return nil
 }
 
+// isFirstRecordCutOff tells whether a slot holds a part of the very first record, as a process leaves it that is killed while it
+// writes. Nothing was reported from it. A record of full length that is corrupt is something else.
+func isFirstRecordCutOff(buffer []byte) bool {
+	sequence := make([]byte, lengthOffset)
+	copy(sequence, buffer)
+	if binary.LittleEndian.Uint64(sequence) != 1 {
+		return false
+	}
+	return len(buffer) < headerSize || binary.LittleEndian.Uint64(buffer[lengthOffset:]) > uint64(len(buffer)-headerSize)
+}
+
 // decodeRecord reads a slot; a record that was cut off or corrupted is not complete.
 func decodeRecord(buffer []byte) (sequence uint64, r record, isComplete bool) {
 	if len(buffer) < headerSize {
