--- a/cmd/harrierhoist/soak_test.go
+++ b/cmd/harrierhoist/soak_test.go
@@ -29,6 +29,8 @@
 	soakLoadTime        = 2500 * time.Millisecond
 	soakAtOnce          = 2 // runs side by side
 	soakDiscoveryOutage = 600 * time.Millisecond
+	slowAnswer          = 250 * time.Millisecond
+	longestBatch        = 48 // requests that a client writes at once
 )
 
 // The ways in which a server of the soak answers.
@@ -37,6 +39,7 @@
 	serverHangs
 	serverResets
 	serverDrains
+	serverIsSlow
 )
 
 // soakServer is a fake server, and how it answers now.
@@ -138,6 +141,8 @@
 		return fakes.CloseConn
 	case serverDrains:
 		return "-BUSY\r\n"
+	case serverIsSlow:
+		time.Sleep(slowAnswer)
 	}
 	time.Sleep(time.Duration(words[2][15]%16) * time.Millisecond)
 	return fakes.FormatValue("hello", 1)
@@ -205,12 +210,11 @@
 	time.Sleep(step)
 }
 
-// terminate sends signals in series, with servers that may hang from then on, and SIGKILL at its earliest.
+// terminate sends signals in series, with servers that may hang or be slow from then on, and SIGKILL at its earliest.
 func (s *soak) terminate(g *soakGateway) {
-	if s.random.IntN(3) == 0 {
-		for _, server := range s.servers {
-			server.mode.CompareAndSwap(serverServes, serverHangs)
-		}
+	mode := []int32{serverServes, serverHangs, serverIsSlow}[s.random.IntN(3)]
+	for _, server := range s.servers {
+		server.mode.CompareAndSwap(serverServes, mode)
 	}
 	now := time.Now()
 	g.termAt.Store(&now)
--- a/cmd/harrierhoist/soakclient_test.go
+++ b/cmd/harrierhoist/soakclient_test.go
@@ -19,7 +19,7 @@
 	*soak
 	gateway *soakGateway
 	random  *rand.Rand
-	kind    int // 0, 1: singly; 2: up to eight at once; 3: leaves now and then
+	kind    int // 0, 1: singly; 2: many at once; 3: leaves now and then
 }
 
 // run goes on until the gateway has been asked to end, and its connection is closed.
@@ -44,7 +44,7 @@
 func (c *soakClient) sendBatch(conn net.Conn, in *bufio.Reader) bool {
 	count, text := 1, ""
 	if c.kind == 2 {
-		count += c.random.IntN(8)
+		count += c.random.IntN(longestBatch)
 	}
 	batch := make([]*soakRequest, count)
 	for i := range batch {
