Where discovery is polled a start goes on from the known version

Cause: each start asked for the full list and then for a watch: two turns of an overbooked discovery, behind which answers to open watches wait; drains of the first seconds were obeyed 0.6 to 0.9 s after they counted as told. Change: the first call is a watch of 0.1 s from the version of the configuration's known list, if it has one and the address is the same; an agent in a lower version is found out by its answer and asked for the full list.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -10,6 +10,9 @@
 	"harrierhoist/policy"
 )
 
+// noVersion is the version of a list that has none.
+const noVersion = -1
+
 // endpointList is an answer of discovery: the full list, or what changed after a version.
 type endpointList struct {
 	version int64
@@ -61,20 +64,29 @@
 	return &endpointList{version: *answer.Seq, isFull: *answer.Whole, servers: servers}, nil
 }
 
-// decodeKnown reads the list of an earlier run, which comes with the configuration and needs no version.
+// decodeKnown reads the list of an earlier run, which comes with the configuration and may have no version.
 func (d *decoder) decodeKnown(text []byte) (*endpointList, error) {
 	var known struct{ Hosts json.RawMessage }
 	if err := json.Unmarshal(text, &known); err != nil {
 		return nil, err
 	}
 	if known.Hosts == nil {
-		return &endpointList{}, nil
+		return &endpointList{version: noVersion}, nil
 	}
 	servers, err := d.decodeEntries(known.Hosts)
 	if err != nil {
 		return nil, err
 	}
-	return &endpointList{servers: servers}, nil
+	return &endpointList{version: knownVersion(text), servers: servers}, nil
+}
+
+// knownVersion reads the version of the list of an earlier run, which may have none.
+func knownVersion(text []byte) int64 {
+	var known struct{ Seq *int64 }
+	if err := json.Unmarshal(text, &known); err != nil || known.Seq == nil {
+		return noVersion
+	}
+	return *known.Seq
 }
 
 // decodeEntries reads the entries of a list. A server in an unknown state counts as gone: nothing is sent to it. Of two
--- a/internal/discovery/session.go
+++ b/internal/discovery/session.go
@@ -20,6 +20,7 @@
 	connection         *connection // of the latest call
 	version            int64       // of the latest list
 	retry              *backoff.ExponentialBackOff
+	isResuming         bool // the next watch is the first, from the version of an earlier run
 	isFailing          bool // a call has failed since a watch was last answered
 	warnedSilent       bool // a watch timed out since one was last answered, and a line was logged
 	warnedFailing      bool // a line was logged that calls fail
@@ -40,6 +41,18 @@
 	return b
 }
 
+// resume has the session go on from the list of an earlier run, and returns false where it cannot: a notified agent answers
+// at once and at no cost, and another agent does not have the version.
+func (s *session) resume() bool {
+	version := s.watcher.knownVersion
+	s.watcher.knownVersion = noVersion
+	if version == noVersion || !s.agent.isPolled || s.agent != s.watcher.knownAgent {
+		return false
+	}
+	s.version, s.isResuming = version, true
+	return true
+}
+
 func (s *session) url() string { return "http://" + s.agent.addr + "/api/targets" }
 
 // call requests the full list, or watches for changes, and handles the answer. It returns whether the next call has to be
@@ -70,8 +83,12 @@
 	if s.agent.isPolled { // a second draw, as ever: what a seed draws stays
 		wait = s.watcher.randomBetween(minPolledWatch, maxPolledWatch)
 	}
+	timeout := wait + watchGrace
+	if s.isResuming {
+		wait, timeout = resumeWatch, polledListTimeout
+	}
 	url := fmt.Sprintf("%s?since=%d&timeout_ms=%d", s.url(), s.version, wait.Milliseconds())
-	body, err := s.connection.get(ctx, url, wait+watchGrace)
+	body, err := s.connection.get(ctx, url, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -144,6 +161,7 @@
 	s.watcher.apply(ctx, received)
 	s.version, s.awaitsConfirmation = received.version, false
 	if !wasWatch {
+		s.isResuming = false
 		return 0
 	}
 	if s.warnedFailing {
@@ -151,7 +169,9 @@
 	}
 	s.isFailing, s.warnedSilent, s.warnedFailing = false, false, false
 	s.retry.Reset()
-	if len(received.servers) == 0 && took < minWatch/2 {
+	isResumed := s.isResuming
+	s.isResuming = false
+	if len(received.servers) == 0 && took < minWatch/2 && !isResumed {
 		return s.watcher.randomBetween(minPause, maxPause)
 	}
 	return 0
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -38,6 +38,10 @@
 	minPolledStagger  = 1300 * time.Millisecond
 	maxPolledStagger  = 1700 * time.Millisecond
 
+	// The first watch of a process that has a list of an earlier run ends after resumeWatch: clients come once it is answered. It
+	// may wait for its turn for polledListTimeout.
+	resumeWatch = 100 * time.Millisecond
+
 	// A rejected call is repeated after a time drawn from minRejectedPause to maxRejectedPause, which does not grow: a gateway
 	// without a watch that does not ask for longer counts as told at once. Rejected calls take of what discovery can do, so that
 	// shorter pauses leave fewer turns: with 0.2 to 0.4 s gateways went without one for 20 s.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -26,6 +26,8 @@
 	random       *rand.Rand    // used by Run's goroutine alone
 	firstApplied chan struct{} // closed with the first list that discovery gave and that was applied
 	closeFirst   sync.Once
+	knownVersion int64 // of the list of an earlier run, until a session begins; noVersion: none
+	knownAgent   agent // that the list is of
 
 	mu            sync.Mutex
 	agent         agent
@@ -48,6 +50,7 @@
 		dial:          (&net.Dialer{Timeout: listTimeout}).DialContext, // one that hangs holds no descriptor for longer
 		random:        rand.New(rand.NewPCG(uint64(configuration.Seed), 0)),
 		firstApplied:  make(chan struct{}),
+		knownVersion:  noVersion,
 		agent:         agent{configuration.Discovery, configuration.Settings.PollList},
 		cancelSession: func() {},
 	}
@@ -58,6 +61,7 @@
 		}
 		dispatcher.HandleEndpoints(policy.ListCached, known.servers)
 		w.hasServers = !known.isEmpty()
+		w.knownVersion, w.knownAgent = known.version, w.agent
 	}
 	return w, nil
 }
@@ -76,7 +80,7 @@
 	}
 }
 
-// Run follows the list until the context ends: one agent after the other, each from its full list.
+// Run follows the list until the context ends: one agent after the other.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.mu.Lock()
@@ -89,13 +93,15 @@
 	}
 }
 
-// follow follows the list of one agent until the context ends. After a failure the full list is requested, rather than
+// follow follows the list of one agent until the context ends: from the version of an earlier run where that can be, else from
+// its full list. After a failure the full list is requested, rather than
 // what changed since our version: an agent that failed may have restarted and lost its versions, and would answer that
 // nothing changed. A call that was rejected is repeated as it was: discovery is there, and has too many calls to answer.
 func (w *Watcher) follow(ctx context.Context, current agent) {
 	s := newSession(w, current)
 	defer func() { s.connection.close() }()
-	for wantFull := true; ctx.Err() == nil; {
+	wantFull := !s.resume()
+	for ctx.Err() == nil {
 		var pause time.Duration
 		wantFull, pause = s.call(ctx, wantFull)
 		if !sleep(ctx, pause) {
