Requests are given up 0.25 s before SIGKILL; tests want the stop before it

A margin of 0.1 s is also less than the 0.15 s for which a gateway may be held up. Change: the tests want the stop in the log before SIGKILL is due, then a clean exit, which is as strict; requests with rejections behind them are given up 0.25 s before SIGKILL, or a tenth of its delay.

--- a/cmd/harrierhoist/hanging_test.go
+++ b/cmd/harrierhoist/hanging_test.go
@@ -27,8 +27,7 @@
 			gateway.server.NextCommand(t)
 			time.Sleep(300 * time.Millisecond) // more follow, as many as the gateway lets one server have
 			gateway.terminate()
-			kill := time.AfterFunc(3700*time.Millisecond, func() { _ = gateway.process.Process.Kill() })
-			defer kill.Stop()
+			sigkill := gateway.killAfter(3700 * time.Millisecond)
 			time.Sleep(time.Second)
 			attempts := gateway.server.PendingCommands()
 			for range late {
@@ -48,7 +47,7 @@
 				t.Errorf("the connection ended with %v", err)
 			}
 			_ = c.Close()
-			gateway.waitForCleanExit()
+			sigkill.wantEndBefore()
 			if n := gateway.server.PendingCommands(); n > attempts && name == "submits" { // queries are retried
 				t.Errorf("%d attempts of late requests", n-attempts)
 			}
--- a/cmd/harrierhoist/pipelined_test.go
+++ b/cmd/harrierhoist/pipelined_test.go
@@ -66,8 +66,7 @@
 		time.Sleep(-p.sentAt)
 	}
 	gateway.signal(syscall.SIGTERM)
-	kill := time.AfterFunc(p.killAt, func() { _ = gateway.process.Process.Kill() })
-	defer kill.Stop()
+	sigkill := gateway.killAfter(p.killAt)
 	if p.sentAt >= 0 {
 		time.Sleep(p.sentAt)
 		if p.isNew {
@@ -86,7 +85,33 @@
 		t.Errorf("the connection ended with %v", err)
 	}
 	_ = c.Close()
-	gateway.waitForCleanExit()
+	sigkill.wantEndBefore()
+}
+
+// scheduledKill is a SIGKILL that is due at its earliest.
+type scheduledKill struct {
+	gateway *gatewayUnderTest
+	timer   *time.Timer
+	dueAt   time.Time
+}
+
+// killAfter schedules a SIGKILL.
+func (g *gatewayUnderTest) killAfter(delay time.Duration) scheduledKill {
+	g.Helper()
+	timer := time.AfterFunc(delay, func() { _ = g.process.Process.Kill() })
+	g.Cleanup(func() { timer.Stop() })
+	return scheduledKill{g, timer, time.Now().Add(delay)}
+}
+
+// wantEndBefore checks that the process ends by itself before the SIGKILL. Built with the race detector it sleeps for a second
+// more at its end: there it has to be done with all clients by then, which its log tells.
+func (k scheduledKill) wantEndBefore() {
+	k.gateway.Helper()
+	fakes.Eventually(k.gateway, "the gateway stopping", func() bool { return k.gateway.log.Count("gateway: stopped") > 0 })
+	if late := time.Since(k.dueAt); late > 0 || !k.timer.Stop() {
+		k.gateway.Errorf("stopped %v after SIGKILL was due", late)
+	}
+	k.gateway.waitForCleanExit()
 }
 
 // send writes all requests.
--- a/internal/listener/drain.go
+++ b/internal/listener/drain.go
@@ -20,6 +20,10 @@
 	killGrace = 700 * time.Millisecond
 	// killMargin: all that is read late is decided this long before SIGKILL.
 	killMargin = 100 * time.Millisecond
+	// giveUpMargin, giveUpShare: requests with rejections behind them are given up this long before SIGKILL, or that part of its
+	// delay if it is shorter. A gateway may be held up for 0.15 s.
+	giveUpMargin = 250 * time.Millisecond
+	giveUpShare  = 10
 	// rejectTime: commands are read for this much longer; a client that never pauses in it has to be closed on.
 	rejectTime = 1800 * time.Millisecond
 	// readMargin: reading ends this long before SIGKILL.
@@ -45,6 +49,7 @@
 	forwardUntil time.Time // then what is read behind other commands is rejected
 	readUntil    time.Time // then no more is read behind what is in flight
 	answerUntil  time.Time // by then everything read late is answered
+	giveUpAt     time.Time // then requests are given up behind which rejections wait
 }
 
 // newDrainTimes returns the times of a drain that began at a time, where SIGKILL comes killDelay later.
@@ -53,6 +58,7 @@
 		began: began, killDelay: killDelay, forwardUntil: began.Add(forwardAfterTerm),
 		readUntil:   began.Add(min(forwardAfterTerm+rejectTime, killDelay-readMargin)),
 		answerUntil: began.Add(killDelay - killMargin),
+		giveUpAt:    began.Add(killDelay - min(giveUpMargin, killDelay/giveUpShare)),
 	}
 }
 
@@ -126,6 +132,8 @@
 		l.connections.closeIdle(isDueInDrain)                   // also while a connection waits for a slot
 		if time.Now().After(l.drain.times.Load().answerUntil) { // clients that connect on and on
 			_ = socket.Close() // it may be closed already
+		}
+		if time.Now().After(l.drain.times.Load().giveUpAt) {
 			l.connections.giveUpBeforeRejected()
 		}
 		select {
