Review, case 1: pipelined requests are lost at a planned restart

A gateway gets SIGTERM while two of its six servers hang. Clients send on their open connections without waiting for the answers before. 2.5 s after SIGTERM the gateway stops reading commands behind others, and ends the connection over them, 0.9 s before the earliest SIGKILL. Without SIGTERM all are answered.

--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -23,8 +23,9 @@
 	text   string
 }
 
-// cases are the cases of the review: hall and crash. The others are scenes that REPORT.md names.
+// cases are the cases of the review: drain, hall and crash. The others are scenes that REPORT.md names.
 var cases = map[string]func(l *lab, trouble bool) (verdict, error){
+	"drain": busyConnections,
 	"hall":  newHall,
 	"crash": lostVoters,
 	"debts": doubledDebts,
