--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -10,7 +10,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -63,9 +65,13 @@
 		v, err := cases[name](l, os.Getenv("TROUBLE") != "0")
 		ended <- end{v, err}
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	var e end
 	select {
 	case e = <-ended:
+	case s := <-interrupted:
+		e.err = fmt.Errorf("interrupted: %v", s)
 	case <-time.After(maxDuration):
 		e.err = fmt.Errorf("not over after %v", maxDuration)
 	}
