--- a/review/testdata/lab/drain.go
+++ b/review/testdata/lab/drain.go
@@ -143,9 +143,8 @@
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
-			if half, ok := conn.(*net.TCPConn); ok && p.allAnswered(10*time.Second) {
-				_ = half.Close()
-			}
+			p.awaitAnswers(10 * time.Second)
+			_ = conn.Close()
 			return
 		case <-time.After(drainPace):
 		}
@@ -168,19 +167,19 @@
 	}
 }
 
-func (p *pipeline) allAnswered(limit time.Duration) bool {
+// awaitAnswers waits until no answer is to come any more, or the limit has passed.
+func (p *pipeline) awaitAnswers(limit time.Duration) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		p.mu.Lock()
-		done := p.answered == len(p.requests)
+		done := p.answered == len(p.requests) || !p.endedAt.IsZero()
 		p.mu.Unlock()
 		if done {
-			break
+			return
 		}
 	}
-	return true
 }
 
-// receive matches answers to the requests, in their order, until the connection ends.
+// receive matches answers to the requests, in their order, until the connection ends, and closes it then.
 func (p *pipeline) receive(rec *record, conn net.Conn) {
 	reader := bufio.NewReader(conn)
 	for {
@@ -191,6 +190,7 @@
 			p.endedAt = time.Now()
 			p.end = err.Error()
 			p.mu.Unlock()
+			_ = conn.Close()
 			return
 		}
 		r := p.requests[p.answered]
