A keyed request is not repeated after a list has moved its server to another group

Found while reading, no caller has reported it.

Cause: TrafficClass.sharesGroup compared the target with the group that the first attempt's server has now. If a list moved that server between the two attempts, the repeat went to a group that does not remember the key.

Change: an attempt keeps the zone and rack that its server had when it started; dropsRepeats wants the target in that group and the server still in it.

--- a/policy/repeat_rules.go
+++ b/policy/repeat_rules.go
@@ -73,7 +73,7 @@
 	case repeatAnywhere:
 		return true
 	case repeatInGroup:
-		inGroup := target == nil || r.class.sharesGroup(target, firstRun.server)
+		inGroup := target == nil || r.class.dropsRepeats(target, firstRun)
 		return inGroup && now < firstRun.startedAt+r.class.DedupWindow
 	case repeatNowhere:
 		return false
@@ -98,15 +98,17 @@
 	}
 }
 
-// sharesGroup reports whether two servers drop each other's repeats of the class's requests.
-func (c *TrafficClass) sharesGroup(a, b *server) bool {
+// dropsRepeats reports whether the target drops repeats of an attempt at a request of the class. The
+// attempt's server must be in the target's group now, and have been in it when the attempt started. If
+// a list has moved the server since then, it is not known which group remembers the attempt.
+func (c *TrafficClass) dropsRepeats(target *server, earlier *attempt) bool {
 	switch c.Group {
 	case GroupAll:
 		return true
 	case GroupZone:
-		return a.Zone == b.Zone
+		return earlier.server.Zone == earlier.zone && target.Zone == earlier.zone
 	case GroupRack:
-		return a.Rack == b.Rack
+		return earlier.server.Rack == earlier.rack && target.Rack == earlier.rack
 	default:
 		return false
 	}
--- a/policy/request_state.go
+++ b/policy/request_state.go
@@ -39,9 +39,10 @@
 
 // attempt is a request sent to one server.
 type attempt struct {
-	server    *server
-	startedAt time.Duration
-	state     attemptState
+	server     *server
+	zone, rack int // of the server when the attempt started; a list may have moved it since
+	startedAt  time.Duration
+	state      attemptState
 }
 
 func (r *requestState) lastAttemptAt() time.Duration { return r.attempts[len(r.attempts)-1].startedAt }
--- a/policy/server.go
+++ b/policy/server.go
@@ -10,7 +10,9 @@
 // startAttempt sends a request to the server and records the attempt.
 func (s *server) startAttempt(request *requestState) {
 	s.inFlight = append(s.inFlight, request)
-	request.attempts = append(request.attempts, attempt{server: s, startedAt: s.env.now})
+	request.attempts = append(request.attempts, attempt{
+		server: s, zone: s.Zone, rack: s.Rack, startedAt: s.env.now,
+	})
 	s.env.host.Attempt(request.ID, s.Server, request.Deadline)
 }
 
