A zone that the start did not name is no longer taken for the first one

Cause: discovery.decoder decoded an unknown zone as number 0, the first zone's, and package policy compares numbers. Evidence: in a record of the old code all 14 went from the first zone to the new one at the failure of the first attempt, inside the window; none left the second zone.

Change: numbering.Numbering.Of gives an unknown name a number from a hash of the name, above every index, the same at all gateways that do not know it. An entry without a zone is in the only configured zone, or by itself. On the same path: zone statistics counted such a zone for another (now for none), debts went to the first zone's owner (now to the owner by the terms), server models.

--- a/internal/control/failover/zonestats/golden_test.go
+++ b/internal/control/failover/zonestats/golden_test.go
@@ -61,11 +61,17 @@
 }
 
 // goldenCounts are the hashes of all counts for random sequences of events, by settings and seed.
+// "unknown" are sequences with attempts in zones that are not configured.
 var goldenCounts = map[string]string{
-	"warm 2026": "9922facef8a2616058f0f5a725b0dbc2898000b3176ba362d26ee86e69ded8ed",
-	"warm 12":   "ba051585e9b0f9fa4f3db1e1e1f78263da27089359d09c7db441985e9b4cf01b",
-	"cold 2026": "3d413e4f403dbc52d6f8a5faea97e572ac9c876f68840dc60af29eb25dfb6ce9",
-	"cold 12":   "d2b8c9efd4209025b3d72f5046dd2b820d9f75c39b346c35d685383c5358dc0b",
+	"warm 2026 configured": "9922facef8a2616058f0f5a725b0dbc2898000b3176ba362d26ee86e69ded8ed",
+	"warm 12 configured":   "ba051585e9b0f9fa4f3db1e1e1f78263da27089359d09c7db441985e9b4cf01b",
+	"cold 2026 configured": "3d413e4f403dbc52d6f8a5faea97e572ac9c876f68840dc60af29eb25dfb6ce9",
+	"cold 12 configured":   "d2b8c9efd4209025b3d72f5046dd2b820d9f75c39b346c35d685383c5358dc0b",
+
+	"warm 2026 unknown": "7285566507a7745bb5cbf313eb2bf03f5bba44f45cbdd20f912b365407607f78",
+	"warm 12 unknown":   "9185f5b31d47d0b57d07befe765989b89b44208b844b1872654ef7526ca90311",
+	"cold 2026 unknown": "2d448423534d3f83661df114507b21ee0bc79aa6f3d3fc3e47a04ef7ff0f5681",
+	"cold 12 unknown":   "0425d86b3ba7e24ba72a6ef172d39969712b345585bf1561cf66cfd35241a1f9",
 }
 
 // TestGolden_countsOfRandomEvents guards all counts for random sequences of events against
@@ -74,19 +80,29 @@
 	settingsByName := map[string]*policy.Settings{"warm": {}, "cold": {WarmUpStart: 0.3, WarmUpTime: 20 * time.Second}}
 	for name, settings := range settingsByName {
 		for _, seed := range []uint64{2026, 12} {
-			key := fmt.Sprintf("%s %d", name, seed)
-			t.Run(key, func(t *testing.T) {
-				if got := hashRandomEventCounts(seed, settings); got != goldenCounts[key] {
-					t.Errorf("hash of the counts: got %s, want %s", got, goldenCounts[key])
-				}
-			})
+			for zones, zoneOf := range map[string]func(int) int{"configured": configuredZone, "unknown": anyZone} {
+				key := fmt.Sprintf("%s %d %s", name, seed, zones)
+				t.Run(key, func(t *testing.T) {
+					if got := hashRandomEventCounts(seed, settings, zoneOf); got != goldenCounts[key] {
+						t.Errorf("hash of the counts: got %s, want %s", got, goldenCounts[key])
+					}
+				})
+			}
 		}
 	}
 }
 
+// configuredZone returns the number of one of three configured zones for a draw from 0 to 4.
+func configuredZone(draw int) int { return min(max(draw-1, 0), 2) }
+
+// anyZone returns the number of one of three configured zones, or one below or above them, for a draw
+// from 0 to 4.
+func anyZone(draw int) int { return draw - 1 }
+
 // hashRandomEventCounts records random events over 500 digests in a gateway of the second of three
-// zones. It returns a hash of all counts in all digests.
-func hashRandomEventCounts(seed uint64, settings *policy.Settings) string {
+// zones. zoneOf returns the zone of an attempt for a draw from 0 to 4. It returns a hash of all counts
+// in all digests.
+func hashRandomEventCounts(seed uint64, settings *policy.Settings, zoneOf func(draw int) int) string {
 	random := rand.New(rand.NewPCG(seed, 37))
 	zones := []string{"a", "b", "c"}
 	recorder := New(zones, 1, settings)
@@ -109,10 +125,11 @@
 		}
 		for range random.IntN(8) {
 			now += time.Duration(random.IntN(20)) * time.Millisecond
-			zone := random.IntN(5) - 1
+			draw := random.IntN(5)
+			zone := zoneOf(draw)
 			server := uint32(random.IntN(9))
 			outcome := outcomes[random.IntN(len(outcomes))]
-			if zoneDown[min(max(zone, 0), 2)] {
+			if zoneDown[configuredZone(draw)] {
 				outcome = policy.ConnectFailed
 			}
 			recorder.AddOffered(random.Float64())
--- a/internal/control/failover/zonestats/recorder.go
+++ b/internal/control/failover/zonestats/recorder.go
@@ -60,10 +60,13 @@
 	r.warmUpTime = settings.WarmUpTime
 }
 
-// zone returns the statistics of the zone at index. An index outside the configured zones is
-// clamped to the nearest valid one.
-func (r *Recorder) zone(index int) *zoneStats {
-	return r.zones[min(max(index, 0), len(r.zones)-1)]
+// zone returns the statistics of the zone with a number, or nil if the zone is not configured. No
+// statistics are kept of such a zone, as the failover plan gives this gateway no share of it.
+func (r *Recorder) zone(number int) *zoneStats {
+	if number < 0 || number >= len(r.zones) {
+		return nil
+	}
+	return r.zones[number]
 }
 
 // AddOffered counts the units of a request received from a client for the first time.
@@ -77,9 +80,11 @@
 
 // AddAttempt counts an attempt on a server in a zone, with the request's units. isFirst is true for
 // the first attempt of a request that is not a client's repeat. Only such an attempt counts as
-// demand, so that each request counts once.
+// demand, so that each request counts once. The zone need not be configured.
 func (r *Recorder) AddAttempt(now time.Duration, zone int, units float64, isFirst bool) {
-	r.zone(zone).addAttempt(now, units)
+	if z := r.zone(zone); z != nil {
+		z.addAttempt(now, units)
+	}
 	if isFirst {
 		r.admitted += units * thousandths
 	}
@@ -89,7 +94,9 @@
 func (r *Recorder) AddResult(
 	now time.Duration, zone int, server uint32, outcome policy.Outcome, latency time.Duration,
 ) {
-	r.zone(zone).addResult(now, server, outcome, latency)
+	if z := r.zone(zone); z != nil {
+		z.addResult(now, server, outcome, latency)
+	}
 }
 
 // AddCounterCall counts the end of a call to the counter. isLate is also true for a failed call.
@@ -109,7 +116,7 @@
 	}
 	for _, endpoint := range endpoints {
 		switch z := r.zone(endpoint.Zone); {
-		case endpoint.State != policy.Ready:
+		case z == nil, endpoint.State != policy.Ready:
 		case r.warmUpFraction(now, endpoint) < 1:
 			z.warmingUp = append(z.warmingUp, endpoint)
 		default:
--- a/internal/control/failover/zonestats/recorder_test.go
+++ b/internal/control/failover/zonestats/recorder_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"harrierhoist/internal/numbering"
 	"harrierhoist/policy"
 )
 
@@ -137,6 +138,32 @@
 	fx.wantCount(ReadyTimeName("b", PowerBand(0.608)), 100)
 }
 
+// TestRecorder_unknownZoneIsNoOther guards against power, attempts and results of a zone that the
+// start did not name and that were counted as those of a configured zone. Such requests are demand
+// all the same.
+func TestRecorder_unknownZoneIsNoOther(t *testing.T) {
+	fx := newFixture(t)
+	unknown := numbering.New([]string{"a", "b"}).Of("c")
+	fx.recorder.SetEndpoints(fx.now, []policy.Endpoint{
+		{State: policy.Ready, Capacity: 2},
+		{State: policy.Ready, Capacity: 1, Zone: 1},
+		{State: policy.Ready, Capacity: 5, Zone: unknown},
+		{State: policy.Ready, Capacity: 5, Zone: unknown, StartedAt: fx.now - 5*time.Second},
+	})
+	for server := range uint32(6) {
+		fx.attempt(unknown, server, policy.Reset, time.Millisecond)
+	}
+	fx.nextDigest(94 * time.Millisecond)
+	fx.wantCount(ReadyPowerName("a", PowerBand(2)), 200)
+	fx.wantCount(ReadyPowerName("b", PowerBand(1)), 100)
+	for _, zone := range []string{"a", "b"} {
+		fx.wantCount(AttemptedName("a", zone), 0)
+		fx.wantCount(HealthTimeName("a", zone, Lost), 0)
+		fx.wantCount(CompletedName("a", zone, Outcomes()[indexFailed]), 0)
+	}
+	fx.wantCount(AdmittedName("a"), 12_000)
+}
+
 func TestPowerBand_isInRange(t *testing.T) {
 	for _, power := range []float64{0, 0.01, 0.1, 1, 1e9} {
 		if band := PowerBand(power); band < 0 || band >= PowerBands || power > 0 == (band == 0) {
--- a/internal/control/settlement/partner_index.go
+++ b/internal/control/settlement/partner_index.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strconv"
 	"strings"
+
+	"harrierhoist/internal/numbering"
 )
 
 // PartnerIndex maps customers and zones to partners. Partners are numbered from 1 in the order of
@@ -15,24 +17,26 @@
 	Names          []string        // by partner number; Names[0] is empty
 	customerRanges []customerRange // in ascending order
 	planPartners   []int           // partner numbers, by plan number
-	zonePartners   []int           // partner numbers, by zone number
+	zonePartners   map[int]int     // partner numbers, by zone number; includes zones that the gateway does not know
+	zoneCount      int             // number of zones that the gateway knows
 }
 
 // NewPartnerIndex returns an index for the zones and plans of a gateway, which are named in the
-// order of their numbers. The terms must have passed Check.
+// order of their numbers. Package numbering numbers the zones of partners that the gateway does not
+// know. The terms must have passed Check.
 func NewPartnerIndex(terms Terms, zones, plans []string) *PartnerIndex {
 	index := &PartnerIndex{
 		Names:        []string{""},
 		planPartners: make([]int, len(plans)),
-		zonePartners: make([]int, len(zones)),
+		zonePartners: map[int]int{},
+		zoneCount:    len(zones),
 	}
+	zoneNumbers := numbering.New(zones)
 	index.customerRanges, _ = terms.customerRanges() // entries that cannot be parsed are skipped; Check reports them
 	for i, p := range terms.Partners {
 		index.Names = append(index.Names, p.Name)
-		for zone, name := range zones {
-			if slices.Contains(p.Zones, name) {
-				index.zonePartners[zone] = i + 1
-			}
+		for _, name := range p.Zones {
+			index.zonePartners[zoneNumbers.Of(name)] = i + 1
 		}
 		for plan, name := range plans {
 			if slices.Contains(p.Plans, name) {
@@ -57,16 +61,12 @@
 	return x.planPartners[plan]
 }
 
-// ZoneOwner returns the number of the partner that owns a zone, or 0.
-func (x *PartnerIndex) ZoneOwner(zone int) int {
-	if zone < 0 || zone >= len(x.zonePartners) {
-		return 0
-	}
-	return x.zonePartners[zone]
-}
+// ZoneOwner returns the number of the partner that owns the zone with a number of package numbering,
+// or 0.
+func (x *PartnerIndex) ZoneOwner(zone int) int { return x.zonePartners[zone] }
 
-// ZoneCount returns the number of zones of the gateway.
-func (x *PartnerIndex) ZoneCount() int { return len(x.zonePartners) }
+// ZoneCount returns the number of zones that the gateway knows. Their numbers are below it.
+func (x *PartnerIndex) ZoneCount() int { return x.zoneCount }
 
 // PartnerNumber returns the number of the partner with a name, or 0 if the operators' file has
 // none.
--- a/internal/gateway/discovery/golden_test.go
+++ b/internal/gateway/discovery/golden_test.go
@@ -18,15 +18,32 @@
 
 	"harrierhoist/internal/gateway/config"
 	"harrierhoist/internal/gateway/dispatch"
+	"harrierhoist/internal/numbering"
 	"harrierhoist/internal/testing/fakes"
 	"harrierhoist/internal/testing/golden"
 	"harrierhoist/policy"
 )
 
+// unnamedModel is the number of the hardware of an entry that names none.
+const unnamedModel = 2127197583185
+
+// unnamedZones contains, by name of a server, the number of its zone if its entry names none, and two
+// zones are configured.
+var unnamedZones = map[string]int{
+	"a": 1277025632722, "b": 1327969328679, "c": 1945300240130, "d": 2067942955592, "e": 2134140700333,
+	"f": 1505272742462, "s-1": 1474191550207,
+}
+
 func newServer(name, address string, state policy.EndpointState) dispatch.Server {
-	return dispatch.Server{Name: name, Address: address, Endpoint: policy.Endpoint{State: state}}
+	endpoint := policy.Endpoint{State: state, Zone: unnamedZones[name], Hardware: unnamedModel}
+	return dispatch.Server{Name: name, Address: address, Endpoint: endpoint}
 }
 
+// unknownServer is in a zone and of a model that are not configured.
+var unknownServer = dispatch.Server{Name: "s-1", Address: "x", Endpoint: policy.Endpoint{
+	State: policy.Ready, Zone: 1945968340933, Hardware: 2168775622054,
+}}
+
 // fullEntry is an entry that has every key. It is decoded as fullServer.
 const fullEntry = `{"host":"s-1","dial":"10.1.0.18:6379","site":"hall-b","class":"m3","block":3,` +
 	`"health":"in_service","share":0.75,"born_ms":1796126169357.5}`
@@ -85,7 +102,7 @@
 	{
 		"unknown site and class", `{"seq":3,"whole":true,"hosts":[{"host":"s-1","dial":"x","site":"hall-z",` +
 			`"class":"m9","health":"in_service"}]}`, 3, true,
-		[]dispatch.Server{newServer("s-1", "x", policy.Ready)},
+		[]dispatch.Server{unknownServer},
 		false,
 	},
 	{
@@ -114,7 +131,7 @@
 }
 
 func TestGolden_eachFormOfAListIsReadAsBefore(t *testing.T) {
-	d := &decoder{zones: []string{"hall-a", "hall-b"}, hardware: []string{"m1", "m2", "m3"}}
+	d := &decoder{numbering.New([]string{"hall-a", "hall-b"}), numbering.New([]string{"m1", "m2", "m3"})}
 	for _, form := range listEncodings {
 		t.Run(form.name, func(t *testing.T) {
 			received, err := d.decodeAnswer([]byte(form.body))
--- a/internal/gateway/discovery/list.go
+++ b/internal/gateway/discovery/list.go
@@ -7,9 +7,17 @@
 
 	"harrierhoist/internal/gateway/config"
 	"harrierhoist/internal/gateway/dispatch"
+	"harrierhoist/internal/numbering"
 	"harrierhoist/policy"
 )
 
+// unnamedZonePrefix precedes the name of a server whose entry names no zone, to make a name for its
+// zone that no zone has.
+const unnamedZonePrefix = "\x00"
+
+// onlyZone is the number of the only zone, where at most one is configured.
+const onlyZone = 0
+
 // noVersion stands for the version of a list that has none.
 const noVersion = -1
 
@@ -18,6 +26,9 @@
 	version int64 // version of the list once the changes are applied
 	isFull  bool  // the list contains all servers; if false, only those that changed
 	servers []dispatch.Server
+	// unknownZones lists the zones of servers that are not removed, if they are not configured. It is
+	// empty for a server in no named zone, and may contain a zone more than once.
+	unknownZones []string
 }
 
 // isEmpty reports whether every entry of the list is a removed server, or there is no entry.
@@ -35,9 +46,8 @@
 	return l.isFull || isNewer || isUnchanged
 }
 
-// decoder decodes endpoint lists. The name of a zone or of a kind of hardware is decoded as its
-// index in zones or hardware, and an unknown name as index 0.
-type decoder struct{ zones, hardware []string }
+// decoder decodes endpoint lists. It decodes the names of zones and of hardware models as numbers.
+type decoder struct{ zones, hardware numbering.Numbering }
 
 // entry is the JSON form of an endpoint in a list. Apart from born_ms, keys are decoded by the
 // names of the fields. The error message of a malformed list contains this type, so entry is an
@@ -65,16 +75,16 @@
 	if answer.Seq == nil || answer.Whole == nil || answer.Hosts == nil {
 		return nil, fmt.Errorf("%w: seq, whole or hosts is missing", errMalformed)
 	}
-	servers, err := d.decodeEntries(answer.Hosts)
-	if err != nil {
+	received := &endpointList{version: *answer.Seq, isFull: *answer.Whole}
+	if err := d.decodeEntries(answer.Hosts, received); err != nil {
 		return nil, err
 	}
-	for _, server := range servers {
+	for _, server := range received.servers {
 		if server.Name == "" || server.Address == "" && server.Endpoint.State != policy.Removed {
 			return nil, fmt.Errorf("%w: entry without host or dial", errMalformed)
 		}
 	}
-	return &endpointList{version: *answer.Seq, isFull: *answer.Whole, servers: servers}, nil
+	return received, nil
 }
 
 // decodeKnown decodes the known list: the endpoint list of an earlier run of the gateway, which is
@@ -87,11 +97,11 @@
 	if known.Hosts == nil {
 		return &endpointList{version: noVersion}, nil
 	}
-	servers, err := d.decodeEntries(known.Hosts)
-	if err != nil {
+	list := &endpointList{version: decodeKnownVersion(text)}
+	if err := d.decodeEntries(known.Hosts, list); err != nil {
 		return nil, err
 	}
-	return &endpointList{version: decodeKnownVersion(text), servers: servers}, nil
+	return list, nil
 }
 
 // decodeKnownVersion decodes the version of the known list. It returns noVersion if the version is
@@ -104,30 +114,43 @@
 	return *known.Seq
 }
 
-// decodeEntries decodes the entries of a list in their order. A server in an unknown state counts
-// as removed, so nothing is sent to it. If two entries have the same name, the later one takes
-// effect when the list is applied.
-func (d *decoder) decodeEntries(hosts []byte) ([]dispatch.Server, error) {
+// decodeEntries decodes the entries of a list in their order into list.servers and
+// list.unknownZones. A server in an unknown state counts as removed, so nothing is sent to it. If
+// two entries have the same name, the later one takes effect when the list is applied.
+func (d *decoder) decodeEntries(hosts []byte, list *endpointList) error {
 	var entries []entry
 	if err := json.Unmarshal(hosts, &entries); err != nil {
-		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	var servers []dispatch.Server
 	for _, e := range entries {
-		servers = append(servers, dispatch.Server{
-			Name:    e.Host,
-			Address: e.Dial,
-			Endpoint: policy.Endpoint{
-				State:     decodeState(e.Health),
-				Capacity:  e.Share,
-				StartedAt: config.Milliseconds(e.BornMs),
-				Rack:      e.Block,
-				Zone:      max(slices.Index(d.zones, e.Site), 0),
-				Hardware:  max(slices.Index(d.hardware, e.Class), 0),
-			},
-		})
+		endpoint := policy.Endpoint{
+			State:     decodeState(e.Health),
+			Capacity:  e.Share,
+			StartedAt: config.Milliseconds(e.BornMs),
+			Rack:      e.Block,
+			Zone:      d.zoneNumber(e),
+			Hardware:  d.hardware.Of(e.Class),
+		}
+		list.servers = append(list.servers, dispatch.Server{Name: e.Host, Address: e.Dial, Endpoint: endpoint})
+		if endpoint.State != policy.Removed && endpoint.Zone != onlyZone && !d.zones.IsConfigured(endpoint.Zone) {
+			list.unknownZones = append(list.unknownZones, e.Site)
+		}
+	}
+	return nil
+}
+
+// zoneNumber returns the number of the zone of an entry's server. An entry may name no zone. Where
+// at most one zone is configured, the server is in that one. Elsewhere it is not known which servers
+// share a zone, so the server has a zone to itself.
+func (d *decoder) zoneNumber(e entry) int {
+	switch {
+	case e.Site != "":
+		return d.zones.Of(e.Site)
+	case d.zones.Configured() <= 1:
+		return onlyZone
+	default:
+		return d.zones.Of(unnamedZonePrefix + e.Host)
 	}
-	return servers, nil
 }
 
 func decodeState(health string) policy.EndpointState {
--- a/internal/gateway/discovery/list_test.go
+++ b/internal/gateway/discovery/list_test.go
@@ -1,16 +1,19 @@
 package discovery
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"harrierhoist/internal/numbering"
 	"harrierhoist/internal/testing/fakes"
 	"harrierhoist/policy"
 )
 
 func TestDecodeAnswer_readsEntries(t *testing.T) {
-	d := &decoder{zones: []string{"a", "hall-a"}, hardware: []string{"m1", "m2"}}
+	d := &decoder{numbering.New([]string{"a", "hall-a"}), numbering.New([]string{"m1", "m2"})}
 	received, err := d.decodeAnswer([]byte(fakes.FormatList(41, true,
 		fakes.FormatHost("s-1", "1.2.3.4:5", "in_service"),
 		fakes.FormatHost("s-2", "x", "terminating"), fakes.FormatHost("s-3", "x", "terminated"),
@@ -30,7 +33,7 @@
 
 // One malformed entry makes a list malformed as a whole.
 func TestDecodeAnswer_rejectsMalformedList(t *testing.T) {
-	d := &decoder{zones: []string{"hall-a"}, hardware: []string{"m2"}}
+	d := &decoder{numbering.New([]string{"hall-a"}), numbering.New([]string{"m2"})}
 	good := readyHost("s-1")
 	for name, body := range map[string]string{
 		"an empty body":        "",
@@ -119,3 +122,47 @@
 		})
 	}
 }
+
+// Guards against keyed requests that run twice: the zone of a server that is not configured was
+// decoded as the first one. Zones that are not configured, or not named, differ from all others.
+func TestDecodeAnswer_unknownZonesAreNotTheFirst(t *testing.T) {
+	t.Parallel()
+	w := newWatcher(t, "127.0.0.1:1", options{}) // with the zones hall-a and hall-b
+	received, err := w.decoder.decodeAnswer([]byte(fakes.FormatList(1, true,
+		hostInZone("s-1", "hall-a"), hostInZone("s-2", "hall-b"), hostInZone("s-3", "hall-c"),
+		hostInZone("s-4", "hall-c"), hostInZone("s-5", "hall-d"), hostInZone("s-6", ""), hostInZone("s-7", ""),
+		strings.Replace(readyHost("s-8"), `"m2"`, `"m3"`, 1))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	zones := map[int][]string{}
+	for _, server := range received.servers {
+		zones[server.Endpoint.Zone] = append(zones[server.Endpoint.Zone], server.Name)
+	}
+	want := [][]string{{"s-1", "s-8"}, {"s-2"}, {"s-3", "s-4"}, {"s-5"}, {"s-6"}, {"s-7"}}
+	got := slices.SortedFunc(maps.Values(zones), slices.Compare)
+	hasIndexes := slices.Equal(zones[0], want[0]) && slices.Equal(zones[1], want[1])
+	if !slices.EqualFunc(got, want, slices.Equal) || !hasIndexes {
+		t.Errorf("servers by zone: %v, want %v, the first two with the numbers 0 and 1", got, want)
+	}
+	if model := received.servers[7].Endpoint.Hardware; w.decoder.hardware.IsConfigured(model) {
+		t.Errorf("an unknown model has the number %d of a configured one", model)
+	}
+	for range 2 {
+		w.apply(t.Context(), received)
+	}
+	logged := w.logs.FilterMessageSnippet("servers in a zone").Len()
+	if logged != 3 { // hall-c, hall-d, and servers without a zone
+		t.Errorf("%d lines on unknown zones, want 3: %v", logged, w.logs.All())
+	}
+}
+
+// Where no zones are configured, servers that name none are in the gateway's zone, 0.
+func TestDecodeAnswer_noZonesAreConfigured(t *testing.T) {
+	d := &decoder{}
+	received, err := d.decodeAnswer([]byte(fakes.FormatList(1, true, hostInZone("s-1", ""), hostInZone("s-2", ""))))
+	if err != nil || received.servers[0].Endpoint.Zone != 0 || received.servers[1].Endpoint.Zone != 0 ||
+		len(received.unknownZones) > 0 {
+		t.Errorf("got %+v, %v", received, err)
+	}
+}
--- a/internal/gateway/discovery/malformed_test.go
+++ b/internal/gateway/discovery/malformed_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"harrierhoist/internal/numbering"
 	"harrierhoist/internal/testing/fakes"
 	"harrierhoist/policy"
 )
@@ -52,7 +53,7 @@
 }
 
 func TestDecodeAnswer_indentedListIsRead(t *testing.T) {
-	d := &decoder{zones: []string{"hall-a"}, hardware: []string{"m2"}}
+	d := &decoder{numbering.New([]string{"hall-a"}), numbering.New([]string{"m2"})}
 	received, err := d.decodeAnswer([]byte("\n{\r\n\t\"seq\": 41,\n  \"whole\": true,\n  \"hosts\": [\n    " +
 		strings.ReplaceAll(fakes.FormatHost("s-1", "1.2.3.4:5", "terminating"), ",", ",\n      ") + "\n  ]\n}\n\n"))
 	if err != nil || received.version != 41 || !received.isFull || len(received.servers) != 1 ||
--- a/internal/gateway/discovery/watcher.go
+++ b/internal/gateway/discovery/watcher.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 
 	"harrierhoist/internal/gateway/config"
 	"harrierhoist/internal/gateway/dispatch"
+	"harrierhoist/internal/numbering"
 	"harrierhoist/policy"
 )
 
@@ -42,6 +44,7 @@
 	knownAgent       agent // agent that served the known list
 
 	mu            sync.Mutex
+	loggedZones   []string // unknown zones that were logged
 	agent         agent
 	cancelSession context.CancelFunc // no answer of the session is applied after it is called
 	hasServers    bool               // the dispatcher may have servers; cleared by an empty full list
@@ -59,7 +62,7 @@
 	w := &Watcher{
 		dispatcher:    dispatcher,
 		log:           log,
-		decoder:       decoder{zones: configuration.Zones, hardware: configuration.ServerModels},
+		decoder:       decoder{numbering.New(configuration.Zones), numbering.New(configuration.ServerModels)},
 		dial:          (&net.Dialer{Timeout: listTimeout}).DialContext, // the same timeout in both modes
 		random:        rand.New(rand.NewPCG(uint64(configuration.Seed), 0)),
 		firstApplied:  make(chan struct{}),
@@ -72,6 +75,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("configuration: known: %w", err)
 		}
+		w.logUnknownZones(knownList)
 		dispatcher.HandleEndpoints(policy.ListCached, knownList.servers)
 		w.hasServers = !knownList.isEmpty()
 		w.knownVersion = knownList.version
@@ -132,6 +136,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	w.logUnknownZones(received)
 	switch {
 	case received.isFull:
 		w.dispatcher.HandleEndpoints(policy.ListFull, received.servers)
@@ -143,6 +148,18 @@
 	w.firstAppliedOnce.Do(func() { close(w.firstApplied) })
 }
 
+// logUnknownZones logs each zone of the list's servers that the configuration does not contain, once.
+// The caller must hold mu, unless the watcher is not in use yet.
+func (w *Watcher) logUnknownZones(received *endpointList) {
+	for _, zone := range received.unknownZones {
+		if slices.Contains(w.loggedZones, zone) {
+			continue
+		}
+		w.loggedZones = append(w.loggedZones, zone)
+		w.log.Warn("discovery: servers in a zone that settings.Dcs did not name at the start", zap.String("zone", zone))
+	}
+}
+
 // wouldRemoveAllServers reports whether the list is full and empty although the dispatcher may have
 // servers.
 func (w *Watcher) wouldRemoveAllServers(received *endpointList) bool {
