A request whose deadline passes SIGKILL is answered as failed before it

Callers saw a reset in place of an answer when a gateway was restarted while a server hung: a request in hand at SIGTERM had a deadline past the earliest SIGKILL, and nothing followed it on its connection.

Cause: requests were aborted only where rejected commands waited behind them. Change: from answerBy on the drain aborts all requests.

Test: TestTerminate_requestWithDeadlinePastSigkillIsAnswered, which failed before: "" (EOF) in place of -ERR failed.

--- a/cmd/harrierhoist/hanging_test.go
+++ b/cmd/harrierhoist/hanging_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -62,3 +63,19 @@
 		t.Errorf("the connection ended with %v", err)
 	}
 }
+
+// Guards against a client that sees a reset in place of its answer: a request in hand at SIGTERM has
+// a deadline past SIGKILL, and nothing follows it on its connection. It is answered as failed.
+func TestTerminate_requestWithDeadlinePastSigkillIsAnswered(t *testing.T) {
+	t.Parallel()
+	gateway := startGateway(t, 1024, func([]string) string { return "" })
+	c := gateway.connect()
+	c.send(queryCommand(longQueryList))
+	gateway.server.NextCommand(t)
+	gateway.signal(syscall.SIGTERM)
+	sigkill := gateway.killAfter(3700 * time.Millisecond)
+	c.want("-ERR failed")
+	c.wantClosed()
+	_ = c.Close()
+	sigkill.wantEndBefore()
+}
--- a/internal/gateway/listener/connections.go
+++ b/internal/gateway/listener/connections.go
@@ -199,6 +199,15 @@
 	}
 }
 
+// abortAll aborts all requests in flight.
+func (t *connectionTable) abortAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.connections {
+		c.abortRequests()
+	}
+}
+
 // unansweredCommands returns the number of commands that have no answer yet.
 func (t *connectionTable) unansweredCommands() (count int) {
 	t.mu.Lock()
--- a/internal/gateway/listener/drain.go
+++ b/internal/gateway/listener/drain.go
@@ -114,9 +114,8 @@
 // Drain accepts connections for acceptAfterSigterm, and then only those in the backlog. It closes
 // each connection with its last answer, or when it is idle, and returns when all connections are
 // closed. It returns earlier, possibly with unanswered commands, if drainTimeout has passed, which
-// is long after the expected SIGKILL. A command that is unanswered at SIGKILL arrived before the
-// drain was active and has a deadline after SIGKILL: the timeouts of later requests end at
-// answerBy.
+// is long after the expected SIGKILL. All commands are answered by answerBy: the timeouts of requests
+// read during the drain end then, and earlier requests are aborted.
 func (l *Listener) Drain(socket net.Listener) {
 	defer close(l.drain.finished)
 	began := time.Now()
@@ -139,9 +138,9 @@
 }
 
 // awaitClients closes idle connections until none is open, and returns true then. It returns false
-// after drainTimeout. After answerBy it closes the socket. After abortAt it aborts requests that
-// delay rejections: otherwise neither those requests nor the rejected commands would be answered
-// before SIGKILL.
+// after drainTimeout. After answerBy it closes the socket and aborts all requests. After abortAt it
+// aborts requests that delay rejections: otherwise neither those requests nor the rejected commands
+// would be answered before SIGKILL.
 func (l *Listener) awaitClients(socket net.Listener, began time.Time) bool {
 	done := make(chan struct{})
 	go func() {
@@ -153,6 +152,7 @@
 		l.connections.closeIdle(shouldCloseInDrain) // also frees a slot for a waiting connection
 		if time.Now().After(l.drain.times.Load().answerBy) {
 			_ = socket.Close() // the backlog may never be empty; the socket may be closed already
+			l.connections.abortAll()
 		}
 		if time.Now().After(l.drain.times.Load().abortAt) {
 			l.connections.abortBlockingRequests()
