A drain counts from the begin of a pause in which SIGTERM was sent

A process that was paused as SIGTERM came took it for sent when it noticed it, so all times of the drain were late against SIGKILL: a request that hung 0.9 s of pause later ended in a reset.

Shorter pauses do not show; the margins before SIGKILL are for those. Clients are accepted as long as before, but not past the time at which requests are aborted.

--- a/internal/gateway/listener/connections.go
+++ b/internal/gateway/listener/connections.go
@@ -166,6 +166,7 @@
 			return
 		case <-ticker.C:
 		}
+		l.pauses.tick(time.Now())
 		l.connections.closeIdle(shouldCloseInSweep)
 	}
 }
--- a/internal/gateway/listener/drain.go
+++ b/internal/gateway/listener/drain.go
@@ -53,7 +53,7 @@
 
 // drainTimes are the times at which a drain enters its stages.
 type drainTimes struct {
-	began        time.Time
+	began        time.Time     // earliest time at which SIGTERM can have been sent
 	killDelay    time.Duration // from began to the earliest SIGKILL
 	forwardUntil time.Time     // end of forwarding; commands read later behind others are rejected
 	readUntil    time.Time     // end of reading, except for the first command of a connection
@@ -118,11 +118,12 @@
 // read during the drain end then, and earlier requests are aborted.
 func (l *Listener) Drain(socket net.Listener) {
 	defer close(l.drain.finished)
-	began := time.Now()
+	began := l.pauses.earliestSignal(time.Now())
 	l.settingsMu.Lock()
-	l.drain.times.Store(newDrainTimes(began, l.killDelay()))
+	times := newDrainTimes(began, l.killDelay())
+	l.drain.times.Store(times)
 	l.settingsMu.Unlock()
-	time.Sleep(acceptAfterSigterm)
+	time.Sleep(min(acceptAfterSigterm, time.Until(times.abortAt)))
 	// Set the deadline before activating the drain: accept then sets its own deadline, which this
 	// call would overwrite.
 	if d, ok := socket.(deadlineSetter); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -34,6 +34,7 @@
 	requestIDs  *openRequestIDs
 	connections *connectionTable
 	drain       *drainState
+	pauses      *pauseDetector
 
 	settingsMu sync.RWMutex // read-locked from parsing a request to admitting it; locked to change settings
 	parser     atomic.Pointer[requestParser]
@@ -54,6 +55,7 @@
 		requestIDs:  newOpenRequestIDs(),
 		connections: newConnectionTable(maxConnections),
 		drain:       newDrainState(),
+		pauses:      newPauseDetector(sweepInterval),
 	}
 	l.parser.Store(newRequestParser(settings))
 	return l
