Requests that come behind hanging ones after SIGTERM are read and answered up to the end

Cause: reading ended 2.5 s after SIGTERM and after 64 rejected commands, both meant for clients that never pause. They held too where the answers waited behind requests that hang, and the connection was then closed over what lay unread. Evidence: in the records each connection answered all up to 2.5 s, or up to the tokens' end, and none later; it ended with EOF right after the hanging requests were aborted; without SIGTERM all were answered.

Change: while a request is in flight, and 0.5 s beyond, commands are read until 0.2 s before SIGKILL. Consecutive rejections wait in one batch that counts equal ones. Values of rejected commands are discarded without waiting for memory. Requests that delay others are aborted 0.35 s before SIGKILL (0.25 s before), at that time and not up to 50 ms later. A connection closes as before with an answer after which nothing is unread, which is why what came is answered now.

TestDrain_lateCommandsBehindAHangingRequest: 20,000 commands, no goroutine for each.

--- a/internal/gateway/listener/client.go
+++ b/internal/gateway/listener/client.go
@@ -25,18 +25,15 @@
 	rejectedCommandPause = 10 * time.Millisecond
 	// maxInFlightPerConn is the maximum number of commands in flight on a connection.
 	maxInFlightPerConn = 16
-	// maxRejectedPerConn is the maximum number of further commands that a drain reads and rejects
-	// once it has stopped forwarding.
-	maxRejectedPerConn = 64
 )
 
 // client reads the commands of one connection and writes the answers in the order of the commands.
 type client struct {
-	listener        *Listener
-	conn            *connection
-	inFlightTokens  chan struct{}      // one token for each further command that may be in flight
-	rejectionTokens chan struct{}      // one token for each further command that a drain may reject
-	pipeline        textproto.Pipeline // orders the answers
+	listener       *Listener
+	conn           *connection
+	inFlightTokens chan struct{}      // one token for each further command that may be in flight
+	pipeline       textproto.Pipeline // orders the answers
+	lastReplies    *replyBatch        // replies that end the pipeline so far; nil if a request's answer does
 
 	mu       sync.Mutex                     // protects requests
 	requests map[*dispatch.Request]struct{} // requests that are admitted and not completed
@@ -44,19 +41,15 @@
 
 func newClient(l *Listener, conn *resp.Conn) *client {
 	c := &client{
-		listener:        l,
-		conn:            newConnection(conn, l.drain),
-		inFlightTokens:  make(chan struct{}, maxInFlightPerConn),
-		rejectionTokens: make(chan struct{}, maxRejectedPerConn),
-		requests:        map[*dispatch.Request]struct{}{},
+		listener:       l,
+		conn:           newConnection(conn, l.drain),
+		inFlightTokens: make(chan struct{}, maxInFlightPerConn),
+		requests:       map[*dispatch.Request]struct{}{},
 	}
 	c.conn.abortRequests = c.abortRequests
 	for range maxInFlightPerConn {
 		c.inFlightTokens <- struct{}{}
 	}
-	for range maxRejectedPerConn {
-		c.rejectionTokens <- struct{}{}
-	}
 	return c
 }
 
@@ -72,8 +65,8 @@
 }
 
 // awaitToken waits until one more command may be in flight. Once a drain has stopped forwarding, it
-// lets up to maxRejectedPerConn further commands through: they are rejected, and would be lost if
-// they stayed unread behind requests that hang. It returns false if the client disconnects.
+// waits no longer: further commands are rejected, and would be lost if they stayed unread behind
+// requests that hang. It returns false if the client disconnects.
 func (c *client) awaitToken() bool {
 	select {
 	case <-c.inFlightTokens:
@@ -82,31 +75,28 @@
 	}
 	ticker := time.NewTicker(disconnectPollInterval)
 	defer ticker.Stop()
-	for {
-		var rejectionTokens chan struct{}
-		if c.listener.drain.hasStoppedForwarding() {
-			rejectionTokens = c.rejectionTokens
-		}
+	for !c.listener.drain.hasStoppedForwarding() {
 		select {
 		case <-c.inFlightTokens:
 			return true
-		case <-rejectionTokens:
-			return true
 		case <-ticker.C:
 			if c.conn.IsPeerClosed() {
 				return false
 			}
 		}
 	}
+	return true
 }
 
-// returnToken returns the token of a command. It fills inFlightTokens first, because a command does
-// not record which of the two channels its token came from.
-func (c *client) returnToken() {
-	select {
-	case c.inFlightTokens <- struct{}{}:
-	default:
-		c.rejectionTokens <- struct{}{}
+// returnTokens returns the tokens of answered commands. It discards those beyond maxInFlightPerConn:
+// commands that a drain rejected have none.
+func (c *client) returnTokens(commands int) {
+	for range min(commands, maxInFlightPerConn) {
+		select {
+		case c.inFlightTokens <- struct{}{}:
+		default:
+			return
+		}
 	}
 }
 
@@ -126,9 +116,8 @@
 		return false
 	}
 	c.conn.countReadAhead()
-	pipelineID := c.pipeline.Next()
 	if outcome != readComplete {
-		c.answerUnreadable(pipelineID, outcome, err)
+		c.answerUnreadable(c.nextAnswer(), outcome, err)
 		return false
 	}
 	age, isClosed := c.conn.PeerState()
@@ -138,11 +127,11 @@
 	}
 	request, message, reply := c.admitCommand(command, age)
 	if reply == "" {
-		c.listener.workers.run(job{c, pipelineID, request, message, command.memory})
+		c.listener.workers.run(job{c, c.nextAnswer(), request, message, command.memory})
 		return true
 	}
 	c.discard(command)
-	go c.answer(pipelineID, func() error { return c.conn.WriteLine(reply) })
+	c.reply(reply)
 	if reply != replyPong && !c.listener.drain.hasStoppedForwarding() {
 		time.Sleep(rejectedCommandPause)
 	}
@@ -169,6 +158,7 @@
 // admit passes a request to the dispatcher and records it, so that a disconnect is reported for it.
 func (c *client) admit(spec dispatch.RequestSpec) *dispatch.Request {
 	request := c.listener.dispatcher.Admit(spec)
+	c.conn.beginRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests[request] = struct{}{}
@@ -177,29 +167,41 @@
 
 // complete removes a request for which a disconnect need not be reported any more.
 func (c *client) complete(request *dispatch.Request) {
+	c.conn.endRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.requests, request)
 }
 
+// nextAnswer returns the pipeline ID of the next answer. Only the reading goroutine may call it.
+func (c *client) nextAnswer() uint {
+	c.lastReplies = nil
+	return c.pipeline.Next()
+}
+
 // answer writes the answer of a command after all earlier answers. During a drain, the last answer
 // closes the connection.
 func (c *client) answer(pipelineID uint, write func() error) {
 	c.pipeline.StartResponse(pipelineID)
+	c.writeAnswers(pipelineID, 1, write)
+}
+
+// writeAnswers writes the answers of as many commands. It must be their turn in the pipeline.
+func (c *client) writeAnswers(pipelineID uint, commands int, write func() error) {
 	// SetWriteDeadline fails only on a closed connection, and the write then fails as well.
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	var err error
 	if c.listener.drain.active.Load() {
-		err = c.conn.writeLast(write)
+		err = c.conn.writeLast(commands, write)
 	} else {
 		err = write()
 	}
 	if err != nil {
 		_ = c.conn.Close() // close first: the client would read the next answer as the rest of this one
 	}
-	c.conn.endCommand()
+	c.conn.endCommands(commands)
 	c.pipeline.EndResponse(pipelineID)
-	c.returnToken()
+	c.returnTokens(commands)
 }
 
 // answerUnreadable closes the connection after a command that could not be read. It first waits for
--- a/internal/gateway/listener/close.go
+++ b/internal/gateway/listener/close.go
@@ -17,15 +17,15 @@
 // halfCloser is a connection whose sending half can be closed separately.
 type halfCloser interface{ CloseWrite() error }
 
-// writeLast writes an answer during a drain. If no other command is in flight, it also closes the
-// sending half, so that the answer and the FIN leave in one segment: a FIN sent later could cross
-// the client's next request. The reader then waits for the client to close the connection, and
-// leaves unread what the client still sends.
-func (c *connection) writeLast(write func() error) error {
+// writeLast writes the answers of as many commands during a drain. If no other command is in flight,
+// it also closes the sending half, so that the answer and the FIN leave in one segment: a FIN sent
+// later could cross the client's next request. The reader then waits for the client to close the
+// connection, and leaves unread what the client still sends.
+func (c *connection) writeLast(commands int, write func() error) error {
 	c.setCork(1)
 	err := write()
 	c.mu.Lock()
-	if err == nil && c.isLastAnswer() {
+	if err == nil && c.areLastAnswers(commands) {
 		c.state.markHalfClosed(time.Now())
 	}
 	shouldClose := c.state.isClosed() && err == nil
@@ -42,10 +42,10 @@
 	return err
 }
 
-// isLastAnswer reports whether the answer just written belongs to the only command in flight, and
-// no unread byte of a further command has arrived. The caller must hold c.mu.
-func (c *connection) isLastAnswer() bool {
-	return !c.state.isClosed() && c.state.inFlight == 1 && c.IsIdle()
+// areLastAnswers reports whether the answers just written belong to all commands in flight, and no
+// unread byte of a further command has arrived. The caller must hold c.mu.
+func (c *connection) areLastAnswers(commands int) bool {
+	return !c.state.isClosed() && c.state.inFlight == commands && c.IsIdle()
 }
 
 // awaitClose waits, without reading, until the client closes the connection or its time for that
--- a/internal/gateway/listener/command.go
+++ b/internal/gateway/listener/command.go
@@ -31,12 +31,15 @@
 }
 
 // readCommand reads a command. If no memory becomes available in time, the command's value is
-// discarded as it arrives. While the command waits for memory, nothing is read from the client.
+// discarded as it arrives. While the command waits for memory, nothing is read from the client. A
+// command that a drain rejects does not wait, as others may wait behind it.
 func (c *client) readCommand() (*pendingCommand, error) {
 	command := &pendingCommand{}
 	deadline := time.Now().Add(commandTimeout)
 	_ = c.conn.SetReadDeadline(deadline) // fails only on a closed connection, where reading fails as well
-	reserve := func(valueSize int) bool { return c.reserveMemory(command, maxRequestOverhead+valueSize, deadline) }
+	reserve := func(valueSize int) bool {
+		return !c.conn.willReject() && c.reserveMemory(command, maxRequestOverhead+valueSize, deadline)
+	}
 	var err error
 	command.Command, err = c.conn.ReadCommand(maxCommandWords, reserve)
 	if err == nil && command.memory == 0 && len(command.Words) == maxCommandWords { // a request without a value
--- a/internal/gateway/listener/connection.go
+++ b/internal/gateway/listener/connection.go
@@ -67,7 +67,7 @@
 func (c *connection) beginCommand() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.isClosed() || !c.state.isUnused() && c.drain.hasStoppedReading() {
+	if c.state.isClosed() || !c.state.isUnused() && c.hasStoppedReading() {
 		return false
 	}
 	c.state.beginCommand()
@@ -81,41 +81,74 @@
 	if c.IsDrained() {
 		return
 	}
-	if c.drain.hasStoppedReading() {
-		c.StopReadAhead()
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.hasStoppedReading() {
+		c.StopReadAhead()
+	}
 	c.reader = readerInNextCommand
 	c.state.beginCommand()
 }
 
-// endCommand marks a command as answered.
-func (c *connection) endCommand() {
+// hasStoppedReading reports whether a drain reads no further command on the connection, unless it is
+// the first. The caller must hold c.mu.
+func (c *connection) hasStoppedReading() bool {
+	return c.drain.hasStoppedReading(c.state.unblockedSince(time.Now()))
+}
+
+// beginRequest counts a request in flight: a command that was admitted.
+func (c *connection) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.requests++
+}
+
+// endRequest marks a request as completed. Its answer may not be written yet.
+func (c *connection) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state.endCommand(time.Now())
+	c.state.endRequest(time.Now())
+}
+
+// endCommands marks commands as answered.
+func (c *connection) endCommands(count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.endCommands(count, time.Now())
 }
 
 // rejectIfLate reports whether a drain rejects the command that was just read, and records the
-// rejection. Once a drain has stopped forwarding, it rejects every command unless it is the only
-// one ever counted on its connection.
+// rejection.
 func (c *connection) rejectIfLate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.isFirstCommandInFlight() || !c.drain.hasStoppedForwarding() {
+	if !c.isLate() {
 		return false
 	}
 	c.state.hasRejected = true
 	return true
 }
 
+// willReject reports whether a drain rejects the command that is being read.
+func (c *connection) willReject() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isLate()
+}
+
+// isLate reports whether a drain rejects the latest command that was counted. Once a drain has
+// stopped forwarding, it rejects every command unless it is the only one ever counted on its
+// connection. The caller must hold c.mu.
+func (c *connection) isLate() bool {
+	return !c.state.isFirstCommandInFlight() && c.drain.hasStoppedForwarding()
+}
+
 // hasBlockedRejections reports whether a drain has rejected commands whose answers may wait behind
-// other commands in flight.
+// requests in flight.
 func (c *connection) hasBlockedRejections() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.hasRejected && c.state.inFlight > 1
+	return c.state.hasRejected && c.state.requests > 0
 }
 
 // commandsInFlight returns the number of commands that have no answer yet.
--- a/internal/gateway/listener/drain.go
+++ b/internal/gateway/listener/drain.go
@@ -21,20 +21,21 @@
 	// killGrace is the minimum time from the end of the longest request timeout to SIGKILL. The
 	// timeout is counted from SIGTERM and capped at writeTimeout.
 	killGrace = 700 * time.Millisecond
-	// killMargin is how long before SIGKILL all commands that were read during the drain must be
-	// answered.
-	killMargin = 100 * time.Millisecond
-	// abortMargin is how long before SIGKILL the requests that delay the answers of rejected
-	// commands are aborted.
-	abortMargin = 250 * time.Millisecond
-	// abortMarginDivisor caps abortMargin at 1/abortMarginDivisor of the time from SIGTERM to
-	// SIGKILL.
-	abortMarginDivisor = 10
-	// rejectDuration is how long after forwardAfterSigterm commands are still read, and rejected.
-	// The connection of a client that never pauses in that time is closed while the client sends.
+	// killMargin is how long before SIGKILL all commands must be answered. The process may be held
+	// up for a part of it.
+	killMargin = 200 * time.Millisecond
+	// abortLead is how long before that the requests that delay the answers of rejected commands are
+	// aborted.
+	abortLead = 150 * time.Millisecond
+	// abortLeadDivisor caps abortLead at 1/abortLeadDivisor of the time from SIGTERM to SIGKILL.
+	abortLeadDivisor = 20
+	// rejectDuration is how long after forwardAfterSigterm commands are still read, and rejected, on a
+	// connection without requests in flight. The connection of a client that never pauses in that time
+	// is closed while the client sends.
 	rejectDuration = 1800 * time.Millisecond
-	// readMargin is the minimum time from the end of reading to SIGKILL.
-	readMargin = 40 * time.Millisecond
+	// unblockedReadTime is how long commands are still read after the last request on a connection has
+	// ended: those behind it are answered at once then, and the client needs time to pause.
+	unblockedReadTime = 500 * time.Millisecond
 	// drainIdleTimeout is how long a connection must be idle before a drain closes it. A client
 	// that was answered more recently is likely to send another request, whose answer then closes
 	// the connection.
@@ -56,24 +57,37 @@
 	began        time.Time     // earliest time at which SIGTERM can have been sent
 	killDelay    time.Duration // from began to the earliest SIGKILL
 	forwardUntil time.Time     // end of forwarding; commands read later behind others are rejected
-	readUntil    time.Time     // end of reading, except for the first command of a connection
-	answerBy     time.Time     // time by which all commands read during the drain must be answered
 	abortAt      time.Time     // time from which requests that delay rejections are aborted
+	answerBy     time.Time     // time by which all commands must be answered, and end of reading
+	readUntil    time.Time     // end of reading on connections without requests in flight
 }
 
 // newDrainTimes returns the times of a drain that began at SIGTERM and expects SIGKILL after
 // killDelay.
 func newDrainTimes(began time.Time, killDelay time.Duration) *drainTimes {
+	answerDelay := killDelay - killMargin
 	return &drainTimes{
 		began:        began,
 		killDelay:    killDelay,
-		forwardUntil: began.Add(forwardAfterSigterm),
-		readUntil:    began.Add(min(forwardAfterSigterm+rejectDuration, killDelay-readMargin)),
-		answerBy:     began.Add(killDelay - killMargin),
-		abortAt:      began.Add(killDelay - min(abortMargin, killDelay/abortMarginDivisor)),
+		forwardUntil: began.Add(min(forwardAfterSigterm, answerDelay)),
+		abortAt:      began.Add(answerDelay - min(abortLead, killDelay/abortLeadDivisor)),
+		answerBy:     began.Add(answerDelay),
+		readUntil:    began.Add(min(forwardAfterSigterm+rejectDuration, answerDelay)),
 	}
 }
 
+// pollDelay returns how long a drain waits between two checks of its connections: drainPollInterval,
+// or the time until requests are aborted if that is shorter.
+func (t *drainTimes) pollDelay(now time.Time) time.Duration {
+	delay := drainPollInterval
+	for _, stage := range []time.Time{t.abortAt, t.answerBy} {
+		if untilStage := stage.Sub(now); untilStage > 0 {
+			delay = min(delay, untilStage)
+		}
+	}
+	return delay
+}
+
 func newDrainState() *drainState {
 	return &drainState{acceptDone: make(chan struct{}), finished: make(chan struct{})}
 }
@@ -95,11 +109,19 @@
 	return d.active.Load() && time.Now().After(d.times.Load().forwardUntil)
 }
 
-// hasStoppedReading reports whether no new command is read on a connection, except the first.
-// Commands that were read in part are completed. Without this limit, a client that sends without a
-// pause would keep its connection open, as no answer would be the last.
-func (d *drainState) hasStoppedReading() bool {
-	return d.active.Load() && time.Now().After(d.times.Load().readUntil)
+// hasStoppedReading reports whether no new command is read on a connection, except the first, if its
+// latest request in flight ended at unblockedAt. Commands that were read in part are completed. Until
+// then, a connection is closed in the first moment in which all commands that have arrived are
+// answered. A client that sends faster than the gateway reads leaves no such moment, and without this
+// limit no answer would be the last.
+func (d *drainState) hasStoppedReading(unblockedAt time.Time) bool {
+	if !d.active.Load() {
+		return false
+	}
+	now := time.Now()
+	times := d.times.Load()
+	hadTimeToPause := now.After(times.readUntil) && now.Sub(unblockedAt) > unblockedReadTime
+	return hadTimeToPause || now.After(times.answerBy)
 }
 
 // boundTimeout returns the timeout of a request. During a drain, the timeout ends at answerBy at
@@ -139,9 +161,7 @@
 }
 
 // awaitClients closes idle connections until none is open, and returns true then. It returns false
-// after drainTimeout. After answerBy it closes the socket and aborts all requests. After abortAt it
-// aborts requests that delay rejections: otherwise neither those requests nor the rejected commands
-// would be answered before SIGKILL.
+// after drainTimeout.
 func (l *Listener) awaitClients(socket net.Listener, began time.Time) bool {
 	done := make(chan struct{})
 	go func() {
@@ -151,22 +171,32 @@
 	}()
 	for time.Since(began) < l.drainTimeout() {
 		l.connections.closeIdle(shouldCloseInDrain) // also frees a slot for a waiting connection
-		if time.Now().After(l.drain.times.Load().answerBy) {
-			_ = socket.Close() // the backlog may never be empty; the socket may be closed already
-			l.connections.abortAll()
-		}
-		if time.Now().After(l.drain.times.Load().abortAt) {
-			l.connections.abortBlockingRequests()
-		}
+		times := l.drain.times.Load()
+		l.abortRequests(socket, times)
 		select {
 		case <-done:
 			return true
-		case <-time.After(drainPollInterval):
+		case <-time.After(times.pollDelay(time.Now())):
 		}
 	}
 	return false
 }
 
+// abortRequests aborts the requests that are not to be answered in time. From abortAt on, these are
+// the requests that delay rejections: otherwise neither they nor the rejected commands would be
+// answered before SIGKILL. From answerBy on, these are all requests, and the socket is closed, as
+// its backlog may never be empty.
+func (l *Listener) abortRequests(socket net.Listener, times *drainTimes) {
+	now := time.Now()
+	switch {
+	case !now.Before(times.answerBy):
+		_ = socket.Close() // may be closed already
+		l.connections.abortAll()
+	case !now.Before(times.abortAt):
+		l.connections.abortBlockingRequests()
+	}
+}
+
 // drainTimeout returns how long after SIGTERM a drain stops waiting for its clients: the longest
 // timeout of any class under the settings in force, killGrace, and the time to write an answer.
 func (l *Listener) drainTimeout() time.Duration {
--- a/internal/gateway/listener/state.go
+++ b/internal/gateway/listener/state.go
@@ -38,6 +38,8 @@
 type connectionState struct {
 	phase        phase
 	inFlight     int       // commands whose first byte has arrived and that are not answered
+	requests     int       // commands that were admitted and are not completed
+	unblockedAt  time.Time // time at which the latest request was completed; zero before
 	hasAnswered  bool      // an answer was written
 	hasRejected  bool      // a drain has rejected a command
 	lastUsed     time.Time // time of the accept or of the last answer
@@ -72,13 +74,28 @@
 // beginCommand counts a command.
 func (s *connectionState) beginCommand() { s.inFlight++ }
 
-// endCommand marks a command as answered.
-func (s *connectionState) endCommand(now time.Time) {
-	s.inFlight--
+// endCommands marks commands as answered.
+func (s *connectionState) endCommands(count int, now time.Time) {
+	s.inFlight -= count
 	s.lastUsed = now
 	s.hasAnswered = true
 }
 
+// endRequest marks a request as completed.
+func (s *connectionState) endRequest(now time.Time) {
+	s.requests--
+	s.unblockedAt = now
+}
+
+// unblockedSince returns the time since which no request is in flight, which is now if there is one,
+// and zero if there never was one.
+func (s *connectionState) unblockedSince(now time.Time) time.Time {
+	if s.requests > 0 {
+		return now
+	}
+	return s.unblockedAt
+}
+
 // markHalfClosed records that the sending half is closed after the last answer of a drain.
 func (s *connectionState) markHalfClosed(now time.Time) {
 	s.phase = phaseHalfClosed
--- a/internal/gateway/resp/write.go
+++ b/internal/gateway/resp/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"iter"
 	"strconv"
 )
 
@@ -35,6 +36,16 @@
 	})
 }
 
+// WriteLines writes status or error lines, as many as fit into one buffer in each system call.
+func (c *Conn) WriteLines(lines iter.Seq[string]) error {
+	return c.write(func(w *bufio.Writer) {
+		for line := range lines {
+			_, _ = w.WriteString(line)
+			_, _ = w.WriteString(terminator)
+		}
+	})
+}
+
 // WriteValue writes a bulk value.
 func (c *Conn) WriteValue(b *Bulk) error {
 	return c.write(func(w *bufio.Writer) { writeBulk(w, b) })
