A counting rule without a counter no longer ends the process

Cause, by the panic's trace: the enforcer calls the counter for each candidate rule but the first, and gateway.instance passed the call to a counter that is not there. Change: such a call fails at once with nothing added, and the gateway's even share decides, as where the counter does not answer.

--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -57,10 +57,19 @@
 		CheckHealth: func(server dispatch.Server, done func(dispatch.Result)) {
 			go i.upstreams.CheckHealth(server, done)
 		},
-		Count: func(name uint64, units float64, ttl time.Duration, reply func(float64, policy.Outcome)) {
-			i.counter.Load().Add(name, units, ttl, reply) // not nil: settings that use a counter need its address
-		},
+		Count: i.count,
+	}
+}
+
+// count calls the counter. Without one, the call fails with nothing added: the decision module makes
+// no calls then, but counting rules do.
+func (i *instance) count(name uint64, units float64, ttl time.Duration, reply func(float64, policy.Outcome)) {
+	client := i.counter.Load()
+	if client == nil {
+		go reply(0, policy.ConnectFailed)
+		return
 	}
+	client.Add(name, units, ttl, reply)
 }
 
 // setCounterAddress directs later calls to the counter that configuration names. If it names none,
