Debts that a restarted gateway reads from a failing disk are reported once

Cause: splitLedger, after a failed write, moves to a new ledger what storedDebts does not name, and only a successful write filled it. So all that Restore had read was reported under the old and the new ledger ID. Change: Restore fills storedDebts with what it read.

Test: TestAccounts_storeFailsBeforeItsFirstWrite, which failed before (0 in the stored ledger and 12,000 in the new one, 9,000 and 3,000 are right).

--- a/cmd/harrierhoist/nocounter_test.go
+++ b/cmd/harrierhoist/nocounter_test.go
@@ -37,7 +37,8 @@
 	gateway := newGateway(t, answerHello)
 	gateway.discovery = fakes.NewDiscovery(t, gateway.host())
 	withCounter := gateway.configuration()
-	without := strings.NewReplacer(`"HasCounter":true`, `"HasCounter":false`, gateway.counter.Addr, "").Replace(withCounter)
+	without := strings.NewReplacer(`"HasCounter":true`, `"HasCounter":false`, gateway.counter.Addr, "").
+		Replace(withCounter)
 	replaceFile(t, gateway.configPath, without)
 	common := filepath.Join(voters.dir, "g1.toml")
 	replaceFile(t, common, "[process]\nname = \"g1\"\nhall = \"hall-a\"\n"+voters.voters+countingRuleTable)
--- a/internal/control/settlement/account/store.go
+++ b/internal/control/settlement/account/store.go
@@ -47,11 +47,19 @@
 		a.ledgerID = ledgerID
 	}
 	for _, b := range balances {
-		a.balanceOf(b.Pair).debt += b.Debt + b.InFlight
+		restored := b.Debt + b.InFlight
+		a.balanceOf(b.Pair).debt += restored
+		// Every incarnation restores the same debt from this record, so it counts as stored.
+		a.storedDebts = append(a.storedDebts, ledgerEntry(a.ledgerID, b.Pair, restored))
 	}
 	a.changed <- struct{}{}
 }
 
+// ledgerEntry returns the entry of a pair's debt in a ledger.
+func ledgerEntry(ledgerID string, pair settlement.Pair, debt uint64) settlement.LedgerEntry {
+	return settlement.LedgerEntry{Amount: settlement.Amount{Pair: pair, Sum: debt}, LedgerID: ledgerID}
+}
+
 // storeLoop writes the balances to the store after each change, at most once per minWriteInterval.
 // When ctx is done, it writes them a last time and returns. After a write error it stops using the
 // store: the debts in the store are still reported, and later debts are counted in a new ledger.
@@ -93,8 +101,7 @@
 	}
 	stored := make([]settlement.LedgerEntry, 0, len(balances))
 	for _, b := range balances {
-		amount := settlement.Amount{Pair: b.Pair, Sum: b.Debt}
-		stored = append(stored, settlement.LedgerEntry{Amount: amount, LedgerID: ledgerID})
+		stored = append(stored, ledgerEntry(ledgerID, b.Pair, b.Debt))
 	}
 	a.mu.Lock()
 	a.storedDebts = stored
--- a/internal/control/settlement/account/store_test.go
+++ b/internal/control/settlement/account/store_test.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"harrierhoist/internal/control/settlement"
 	"harrierhoist/internal/testing/fakes"
 	"harrierhoist/policy"
 )
@@ -45,3 +46,31 @@
 	}
 	stop()
 }
+
+// Guards against stored debts that are reported twice, under the ledger of the store and under a new
+// one: the store fails before its first write after a restart. The restored debts stay in their ledger
+// alone, with the estimate for what was in flight, and so does the next incarnation report them.
+func TestAccounts_storeFailsBeforeItsFirstWrite(t *testing.T) {
+	pair := settlement.Pair{Debtor: "a", Creditor: "b"}
+	store := &memoryStore{ledgerID: "first", balances: []StoredBalance{{Pair: pair, Debt: 7000, InFlight: 2000}}}
+	store.fail()
+	for _, ledgerID := range []string{"second", "third"} {
+		client := newFakeCoordination()
+		accounts := New(testConfig(ledgerID, client.Now))
+		accounts.Restore(store)
+		stop := runAccounts(t, accounts, client, make(updateNotifications, 10), zap.NewNop())
+		fakes.Eventually(t, "the store given up", func() bool {
+			accounts.mu.Lock()
+			defer accounts.mu.Unlock()
+			return !accounts.hasWorkingStore()
+		})
+		tracker := accounts.TrackRequest(0, policy.Request{Customer: 1, Units: 2})
+		tracker.OnAttemptStart(1)
+		tracker.OnAttemptEnd(0, policy.Answered, 3)
+		if old, next := reportedDebtOfA(accounts, "first"), reportedDebtOfA(accounts, ledgerID+"+"); old != 9000 ||
+			next != 3000 {
+			t.Errorf("%s: a owes b %d in the stored ledger and %d in the new one, want 9000 and 3000", ledgerID, old, next)
+		}
+		stop()
+	}
+}
