A lease that a reload shortens holds at once, also for tables read before

Cause: tableCache.merge keeps the later of two lease ends, so a read under the long lease outlived those under the short one; a waiting read sent before the reload did so once more. Change: the cache limits the lease from when the latest read was sent, the waiting read is made again, and the lease watcher wakes with the cache.

Tests that called merge with an end now give the time of sending and the lease; what they want is the same.

--- a/internal/control/settlement/account/store_test.go
+++ b/internal/control/settlement/account/store_test.go
@@ -67,9 +67,10 @@
 		tracker := accounts.TrackRequest(0, policy.Request{Customer: 1, Units: 2})
 		tracker.OnAttemptStart(1)
 		tracker.OnAttemptEnd(0, policy.Answered, 3)
-		if old, next := reportedDebtOfA(accounts, "first"), reportedDebtOfA(accounts, ledgerID+"+"); old != 9000 ||
-			next != 3000 {
-			t.Errorf("%s: a owes b %d in the stored ledger and %d in the new one, want 9000 and 3000", ledgerID, old, next)
+		old, next := reportedDebtOfA(accounts, "first"), reportedDebtOfA(accounts, ledgerID+"+")
+		if old != 9000 || next != 3000 {
+			t.Errorf("%s: a owes b %d in the stored ledger and %d in the new one, want 9000 and 3000",
+				ledgerID, old, next)
 		}
 		stop()
 	}
--- a/internal/coordination/follower/cache.go
+++ b/internal/coordination/follower/cache.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -13,12 +14,18 @@
 type tableCache struct {
 	mu             sync.RWMutex                        // guards what follows
 	tables         map[string]coordination.CachedTable // by name; no epoch ever goes back
+	confirmedAt    time.Duration                       // when the latest read that arrived was sent
 	confirmedUntil time.Duration                       // end of the lease of all tables; 0: none was ever read
+	leaseLimit     time.Duration                       // longest lease from when a read was sent
 	changed        chan struct{}                       // closed and replaced with each change
 }
 
 func newTableCache() *tableCache {
-	return &tableCache{tables: map[string]coordination.CachedTable{}, changed: make(chan struct{})}
+	return &tableCache{
+		tables:     map[string]coordination.CachedTable{},
+		leaseLimit: math.MaxInt64,
+		changed:    make(chan struct{}),
+	}
 }
 
 // knownEpochs returns the epochs of the tables in the cache.
@@ -32,13 +39,14 @@
 	return known
 }
 
-// merge adds the tables that a read returned, and extends the lease of all tables to leaseEnd, a
-// time on the follower's clock that counts from when the read was sent. Neither an epoch nor a
-// lease goes back. A result behind the cache extends the lease too: what is cached was written
-// after the read was sent.
-func (c *tableCache) merge(tables map[string]statemachine.Table, leaseEnd time.Duration) {
+// merge adds the tables that a read returned, and extends the lease of all tables to a lease after the
+// read was sent, on the follower's clock. The lease is the one in force when the read was sent, or the
+// limit if that is shorter. Neither an epoch nor a lease goes back. A result behind the cache extends
+// the lease too: what is cached was written after the read was sent.
+func (c *tableCache) merge(tables map[string]statemachine.Table, sent, lease time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	leaseEnd := sent + min(lease, c.leaseLimit)
 	isFirstLease := c.confirmedUntil == 0 && leaseEnd > 0
 	changed := isFirstLease
 	for name, table := range tables {
@@ -47,16 +55,34 @@
 			changed = true
 		}
 	}
-	c.confirmedUntil = max(c.confirmedUntil, leaseEnd)
-	for name, cached := range c.tables {
-		cached.LeaseEnd = c.confirmedUntil
-		c.tables[name] = cached
-	}
+	c.confirmedAt = max(c.confirmedAt, sent)
+	c.setLeaseEnd(max(c.confirmedUntil, leaseEnd))
 	if changed {
 		c.wakeWaiters()
 	}
 }
 
+// limitLease sets the longest lease from when a read was sent, and shortens the lease of all tables to
+// that. It never extends a lease: other processes may still count on the shorter one.
+func (c *tableCache) limitLease(lease time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaseLimit = lease
+	if leaseEnd := c.confirmedAt + lease; leaseEnd < c.confirmedUntil {
+		c.setLeaseEnd(leaseEnd)
+		c.wakeWaiters()
+	}
+}
+
+// setLeaseEnd sets the end of the lease of all tables. The caller holds the lock.
+func (c *tableCache) setLeaseEnd(leaseEnd time.Duration) {
+	c.confirmedUntil = leaseEnd
+	for name, cached := range c.tables {
+		cached.LeaseEnd = leaseEnd
+		c.tables[name] = cached
+	}
+}
+
 // wakeWaiters wakes those that wait for a change. The caller holds the lock.
 func (c *tableCache) wakeWaiters() {
 	close(c.changed)
--- a/internal/coordination/follower/cache_test.go
+++ b/internal/coordination/follower/cache_test.go
@@ -30,7 +30,7 @@
 			reads = append(reads, read)
 			for range rapid.IntRange(0, 2).Draw(t, "arrivals") {
 				arrived := rapid.SampledFrom(reads).Draw(t, "which")
-				cache.merge(arrived.tables, arrived.sent+drawnLease)
+				cache.merge(arrived.tables, arrived.sent, drawnLease)
 				cached := cache.get("plan")
 				if cached.Epoch < highest {
 					t.Fatalf("epoch %d after %d", cached.Epoch, highest)
@@ -126,8 +126,8 @@
 // A read that was sent earlier and arrives later does not shorten the lease.
 func TestTableCache_leaseNeverGoesBack(t *testing.T) {
 	cache := newTableCache()
-	cache.merge(map[string]statemachine.Table{"plan": {Epoch: 1}}, 5*time.Second)
-	cache.merge(nil, 4*time.Second)
+	cache.merge(map[string]statemachine.Table{"plan": {Epoch: 1}}, 3*time.Second, drawnLease)
+	cache.merge(nil, 2*time.Second, drawnLease)
 	if got := cache.get("plan").LeaseEnd; got != 5*time.Second {
 		t.Errorf("the lease ends at %v, want 5 s", got)
 	}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -70,9 +70,12 @@
 	return f
 }
 
-// Reconfigure replaces sources and timing.
+// Reconfigure replaces sources and timing. A shorter lease holds at once, also for tables that were
+// read under the longer one.
 func (f *Follower) Reconfigure(sources []Source, timing Timing) {
 	f.sources.reconfigure(sources, timing)
+	f.cache.limitLease(timing.Lease)
+	f.reader.interrupt()
 }
 
 // Run sends and reads until the context ends.
--- a/internal/coordination/follower/lease.go
+++ b/internal/coordination/follower/lease.go
@@ -28,6 +28,7 @@
 	started := w.clock()
 	expired := false
 	for {
+		changed := w.cache.nextChange()
 		_, _, timing := w.sources.current()
 		leaseEnd := w.cache.leaseEnd()
 		left := max(leaseEnd, started+timing.Lease) - w.clock()
@@ -41,12 +42,26 @@
 			w.logger.Info("follower: lease renewed, the tables are confirmed again")
 			w.cache.notifyLeaseChange()
 		}
-		if !sleep(ctx, leaseCheckPause(left, timing.Lease)) {
+		if !sleepOrChange(ctx, leaseCheckPause(left, timing.Lease), changed) {
 			return
 		}
 	}
 }
 
+// sleepOrChange waits for a change, or until the pause is over: a change may have shortened the lease.
+// It reports whether the context has not ended meanwhile.
+func sleepOrChange(ctx context.Context, pause time.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
 // leaseCheckPause returns when the lease is looked at again: when it can expire, or soon where it
 // has expired, as it may be renewed at any moment.
 func leaseCheckPause(left, lease time.Duration) time.Duration {
--- a/internal/coordination/follower/reader.go
+++ b/internal/coordination/follower/reader.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -37,6 +38,9 @@
 	logger  *zap.Logger
 
 	foreignGroupLogged bool // a foreign group is logged once a process
+
+	mu         sync.Mutex         // guards what follows
+	cancelRead context.CancelFunc // ends the latest read; nil before the first
 }
 
 // run reads until the context ends.
@@ -84,13 +88,28 @@
 
 // readOnce makes one read. The lease counts from before the read was sent.
 func (r *tableReader) readOnce(ctx context.Context, source Source, wait, lease time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.cancelRead = cancel
+	r.mu.Unlock()
 	known := r.cache.knownEpochs()
 	sent := r.clock()
 	result, err := source.Read(ctx, known, wait)
 	if err != nil {
 		return err
 	}
-	return r.accept(result, sent+lease)
+	return r.accept(result, sent, lease)
+}
+
+// interrupt ends the read that is waiting, if there is one. After a change of sources and timing the
+// next one goes by these at once.
+func (r *tableReader) interrupt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancelRead != nil {
+		r.cancelRead()
+	}
 }
 
 // isForeign decides whether a result is of another group of voters than the one that this process
@@ -101,9 +120,9 @@
 	return !result.FromOwnVoter && followed.Epoch > 0 && !bytes.Equal(followed.Value, result.GroupID)
 }
 
-// accept puts a result into the cache, with a lease until leaseEnd, unless it is foreign. A process
-// that has cached tables of one group accepts no other until it is restarted.
-func (r *tableReader) accept(result ReadResult, leaseEnd time.Duration) error {
+// accept puts the result of a read into the cache, with a lease from when it was sent, unless it is
+// foreign. A process that has cached tables of one group accepts no other until it is restarted.
+func (r *tableReader) accept(result ReadResult, sent, lease time.Duration) error {
 	if r.isForeign(result) {
 		if len(result.GroupID) > 0 && !r.foreignGroupLogged {
 			r.foreignGroupLogged = true
@@ -113,6 +132,6 @@
 		}
 		return errForeignGroup // also of a voter that does not know its group yet
 	}
-	r.cache.merge(result.Tables, leaseEnd)
+	r.cache.merge(result.Tables, sent, lease)
 	return nil
 }
