Rule 0 is a candidate of a process that does not know which rule is in force

Cause: CandidateVersions collects the table's versions, the file's try and the file's rules; rule 0 stands in no list. Change: it is a candidate like these, unless the table refused it.

--- a/internal/control/countingrule/config.go
+++ b/internal/control/countingrule/config.go
@@ -21,6 +21,16 @@
 	Canary         CanaryConfig `toml:"canary"`
 }
 
+// versions returns the versions that may come into force by this configuration: rule 0, the one that
+// operators want, and all that it defines. It may contain a version more than once.
+func (c *Config) versions() []uint64 {
+	versions := []uint64{0, c.DesiredVersion}
+	for _, rule := range c.Rules {
+		versions = append(versions, rule.Version)
+	}
+	return versions
+}
+
 // Rule is one version of the counting rule. The built-in rule is version 0, which a file cannot
 // define. It counts each customer separately.
 type Rule struct {
--- a/internal/control/countingrule/table.go
+++ b/internal/control/countingrule/table.go
@@ -118,20 +118,17 @@
 // CandidateVersions returns the versions that may be in force at a time, the one of InForce first.
 // A request that arrives then must be admitted under all of them; the decision module counts it
 // under the first. config is this process's own configuration. It names rules that may have come
-// into force since the table was read. A process that was partitioned or paused therefore does not
-// exceed the limits of these rules.
+// into force since the table was read, and so may rule 0, which needs no name. A process that was
+// partitioned or paused therefore does not exceed the limits of these rules.
 func (t *Table) CandidateVersions(now time.Duration, status TableStatus, config *Config) []uint64 {
 	first := t.InForce(now)
 	if t.isCertain(now, status) {
 		return []uint64{first}
 	}
 	others := t.namedVersions(status)
-	if !t.isRefused(config.DesiredVersion, status) {
-		others = append(others, config.DesiredVersion)
-	}
-	for _, rule := range config.Rules {
-		if !t.isRefused(rule.Version, status) {
-			others = append(others, rule.Version)
+	for _, version := range config.versions() {
+		if !t.isRefused(version, status) {
+			others = append(others, version)
 		}
 	}
 	slices.Sort(others)
--- a/internal/control/countingrule/table_test.go
+++ b/internal/control/countingrule/table_test.go
@@ -14,6 +14,8 @@
 	rollback := Table{
 		Phase: PhaseRollback, FromVersion: 1, ToVersion: 0, SwitchAt: 100, RefusedVersions: []uint64{4, 5},
 	}
+	replaced := Table{FromVersion: 2, ToVersion: 2, PreviousVersion: 1}
+	zeroRefused := Table{FromVersion: 2, ToVersion: 2, PreviousVersion: 1, RefusedVersions: []uint64{0}}
 	for _, test := range []struct {
 		name   string
 		table  Table
@@ -29,6 +31,8 @@
 		{"canary", canary, 50, TableLeased, []uint64{0}},
 		{"no table received: any version of the file", Table{}, 50, TableNeverReceived, []uint64{0, 4, 5}},
 		{"no lease: operators may return to the previous version", refused, 50, TableExpired, []uint64{4, 0}},
+		{"no lease: rule 0 may come into force again", replaced, 50, TableExpired, []uint64{2, 0, 1, 4, 5}},
+		{"no lease: rule 0 is refused", zeroRefused, 50, TableExpired, []uint64{2, 1, 4, 5}},
 		{"rolled back without a lease", rollback, 100, TableExpired, []uint64{0, 1}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
