No attempt begins for a client that left while the process was paused

Cause: at the end of a pause a timer of the decision module may run before the reader reports the close. Evidence: in the record each such attempt came within moments of the end of a pause in which its client had closed.

--- a/internal/gateway/listener/client.go
+++ b/internal/gateway/listener/client.go
@@ -120,6 +120,7 @@
 		c.answerUnreadable(c.nextAnswer(), outcome, err)
 		return false
 	}
+	checkedAt := time.Now()
 	age, isClosed := c.conn.PeerState()
 	if isClosed && !command.mayBePing() {
 		c.discard(command)
@@ -127,7 +128,7 @@
 	}
 	request, message, reply := c.admitCommand(command, age)
 	if reply == "" {
-		c.listener.workers.run(job{c, c.nextAnswer(), request, message, command.memory})
+		c.listener.workers.run(job{c, c.nextAnswer(), request, message, command.memory, checkedAt})
 		return true
 	}
 	c.discard(command)
--- a/internal/gateway/listener/execute.go
+++ b/internal/gateway/listener/execute.go
@@ -40,7 +40,8 @@
 	pipelineID uint // orders the answer among those on the connection
 	request    *dispatch.Request
 	message    *upstream.Command
-	memory     int // reserved memory in bytes
+	memory     int       // reserved memory in bytes
+	checkedAt  time.Time // time at which the client was last known to be connected
 }
 
 // run executes the request, writes its answer and releases its resources.
@@ -61,6 +62,7 @@
 	for {
 		switch decision := j.request.Next(); decision.Action {
 		case dispatch.Forward:
+			decision.BeginSend = j.sendUnlessDisconnected(decision.BeginSend)
 			result, value := j.client.listener.upstream.Attempt(decision, j.message)
 			j.request.ReportResult(result)
 			if value != nil {
@@ -79,6 +81,20 @@
 	}
 }
 
+// sendUnlessDisconnected returns a function that begins an attempt unless the client has
+// disconnected. After a pause of the process, the timers of the decision module may run before the
+// reader notices the disconnect. An attempt that begins soon after the command was read needs no
+// check.
+func (j job) sendUnlessDisconnected(beginSend func() bool) func() bool {
+	return func() bool {
+		if time.Since(j.checkedAt) > disconnectPollInterval && j.client.conn.IsPeerClosed() {
+			j.request.Disconnect()
+			return false
+		}
+		return beginSend()
+	}
+}
+
 // decimalBase is the base of numbers in replies.
 const decimalBase = 10
 
