A test of a silent discovery waits until its agent holds the call

Traced: the agent reports a call before it looks at whether it is silent, and the test ends the silence as the second call is reported. Where the test is first, the agent answers that call, and a watch follows. The product's code has no part in it. The test now waits until the agent holds the call; what it wants is the same.

--- a/internal/gateway/discovery/silence_test.go
+++ b/internal/gateway/discovery/silence_test.go
@@ -77,6 +77,7 @@
 		if pause := second.at.Sub(first.at) - listTimeout; pause < initialBackoff/2 {
 			t.Errorf("full list requested again %v after listTimeout had passed", pause)
 		}
+		synctest.Wait() // the agent holds the second call; it reports a call before it looks at silent
 		silent.Store(false)
 		if third, next := <-calls, <-calls; third.isWatch() || !next.isWatchFrom(7) {
 			t.Errorf("got calls %+v, %+v", third, next)
