After one more reading: a zone's number and whether it is known in one place, names, shared tests

What the program does is meant to be the same. decoder.zoneNumber says whether a zone is known, which was found out a second time from the number; connectionState.lastBlocked in place of unblockedSince; two comments that needed a second reading. The two tests of a request that hangs over SIGKILL share their body, the pause around SIGTERM stands once, and steady clients read answers with the reader of the other clients. No check is gone: the same tests with the same wants.

--- a/cmd/harrierhoist/hanging_test.go
+++ b/cmd/harrierhoist/hanging_test.go
@@ -64,18 +64,47 @@
 	}
 }
 
-// Guards against a client that sees a reset in place of its answer: a request in hand at SIGTERM has
-// a deadline past SIGKILL, and nothing follows it on its connection. It is answered as failed.
+// A client saw a reset in place of its answer: a request in hand at SIGTERM has a deadline past
+// SIGKILL, and nothing follows it on its connection. It is answered as failed, also where the process
+// is paused as SIGTERM comes, as SIGKILL counts from the signal.
 func TestTerminate_requestWithDeadlinePastSigkillIsAnswered(t *testing.T) {
 	t.Parallel()
+	wantFailedBeforeSigkill(t, 0)
+}
+
+func TestTerminate_signalIsNoticedLate(t *testing.T) {
+	t.Parallel()
+	wantFailedBeforeSigkill(t, 900*time.Millisecond)
+}
+
+// wantFailedBeforeSigkill wants a failure in answer to a request that hangs, from a process that is
+// stopped for a time as SIGTERM comes.
+func wantFailedBeforeSigkill(t *testing.T, pausedFor time.Duration) {
+	t.Helper()
 	gateway := startGateway(t, 1024, func([]string) string { return "" })
 	c := gateway.connect()
 	c.send(queryCommand(longQueryList))
 	gateway.server.NextCommand(t)
-	gateway.signal(syscall.SIGTERM)
-	sigkill := gateway.killAfter(3700 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond) // longer than the gateway takes to find out that it runs
+	sigkill := gateway.terminatePaused(pausedFor, 3700*time.Millisecond)
 	c.want("-ERR failed")
 	c.wantClosed()
 	_ = c.Close()
 	sigkill.wantEndBefore()
 }
+
+// terminatePaused sends SIGTERM to the process, stopped for so long as the signal comes, and schedules
+// SIGKILL. It returns once the process goes on.
+func (g *gatewayUnderTest) terminatePaused(pausedFor, killAt time.Duration) scheduledKill {
+	g.Helper()
+	if pausedFor > 0 {
+		g.signal(syscall.SIGSTOP)
+	}
+	g.signal(syscall.SIGTERM)
+	sigkill := g.killAfter(killAt)
+	if pausedFor > 0 {
+		time.Sleep(pausedFor)
+		g.signal(syscall.SIGCONT)
+	}
+	return sigkill
+}
--- a/cmd/harrierhoist/steadyclients_test.go
+++ b/cmd/harrierhoist/steadyclients_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -50,11 +49,11 @@
 
 // receive counts answers until the connection ends, and closes it then.
 func (s *steadyClient) receive() {
-	reader := bufio.NewReader(s.Conn)
+	reader := continuousClient{client: s.client}
 	for {
-		err := skipAnswer(reader)
+		err := reader.readWholeAnswer()
 		s.mu.Lock()
-		if err != nil {
+		if err != nil && !strings.HasPrefix(err.Error(), "-") {
 			s.end, s.endedAt = err, time.Now()
 			s.mu.Unlock()
 			_ = s.Close()
@@ -65,15 +64,6 @@
 	}
 }
 
-// skipAnswer reads a value or a line.
-func skipAnswer(reader *bufio.Reader) error {
-	line, err := reader.ReadString('\n')
-	if err == nil && line[0] == '$' {
-		_, err = reader.ReadString('\n')
-	}
-	return err
-}
-
 // endCrossing is how long before the client sees the end of its connection a request may have crossed
 // that end; the review's case allows the same. On a busy machine the client sees the end late.
 const endCrossing = 100 * time.Millisecond
@@ -169,15 +159,7 @@
 	}
 	time.Sleep(600 * time.Millisecond)
 	areHanging.Store(true)
-	if row.pausedFor > 0 {
-		gateway.signal(syscall.SIGSTOP)
-	}
-	gateway.signal(syscall.SIGTERM)
-	sigkill := gateway.killAfter(row.killAt)
-	if row.pausedFor > 0 {
-		time.Sleep(row.pausedFor)
-		gateway.signal(syscall.SIGCONT)
-	}
+	sigkill := gateway.terminatePaused(row.pausedFor, row.killAt)
 	for range row.newClients {
 		time.Sleep(newClientInterval)
 		if conn, err := net.Dial("tcp", gateway.addr); err == nil {
--- a/internal/gateway/discovery/list.go
+++ b/internal/gateway/discovery/list.go
@@ -26,8 +26,8 @@
 	version int64 // version of the list once the changes are applied
 	isFull  bool  // the list contains all servers; if false, only those that changed
 	servers []dispatch.Server
-	// unknownZones lists the zones of servers that are not removed, if they are not configured. It is
-	// empty for a server in no named zone, and may contain a zone more than once.
+	// unknownZones lists the zones, not configured, of servers that are not removed. A zone is "" if
+	// the server's entry names none, and may stand more than once.
 	unknownZones []string
 }
 
@@ -123,33 +123,35 @@
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	for _, e := range entries {
+		zone, isKnown := d.zoneNumber(e)
 		endpoint := policy.Endpoint{
 			State:     decodeState(e.Health),
 			Capacity:  e.Share,
 			StartedAt: config.Milliseconds(e.BornMs),
 			Rack:      e.Block,
-			Zone:      d.zoneNumber(e),
+			Zone:      zone,
 			Hardware:  d.hardware.Of(e.Class),
 		}
 		list.servers = append(list.servers, dispatch.Server{Name: e.Host, Address: e.Dial, Endpoint: endpoint})
-		if endpoint.State != policy.Removed && endpoint.Zone != onlyZone && !d.zones.IsConfigured(endpoint.Zone) {
+		if !isKnown && endpoint.State != policy.Removed {
 			list.unknownZones = append(list.unknownZones, e.Site)
 		}
 	}
 	return nil
 }
 
-// zoneNumber returns the number of the zone of an entry's server. An entry may name no zone. Where
-// at most one zone is configured, the server is in that one. Elsewhere it is not known which servers
-// share a zone, so the server has a zone to itself.
-func (d *decoder) zoneNumber(e entry) int {
+// zoneNumber returns the number of the zone of an entry's server, and whether the zone is known. An
+// entry may name no zone. Where at most one zone is configured, the server is in that one. Elsewhere
+// it is not known which servers share a zone, so the server has a zone to itself.
+func (d *decoder) zoneNumber(e entry) (number int, isKnown bool) {
 	switch {
 	case e.Site != "":
-		return d.zones.Of(e.Site)
+		number = d.zones.Of(e.Site)
+		return number, d.zones.IsConfigured(number)
 	case d.zones.Configured() <= 1:
-		return onlyZone
+		return onlyZone, true
 	default:
-		return d.zones.Of(unnamedZonePrefix + e.Host)
+		return d.zones.Of(unnamedZonePrefix + e.Host), false
 	}
 }
 
--- a/internal/gateway/listener/client.go
+++ b/internal/gateway/listener/client.go
@@ -33,7 +33,7 @@
 	conn           *connection
 	inFlightTokens chan struct{}      // one token for each further command that may be in flight
 	pipeline       textproto.Pipeline // orders the answers
-	lastReplies    *replyBatch        // replies that end the pipeline so far; nil if a request's answer does
+	lastReplies    *replyBatch        // batch that takes further replies; nil if the latest answer is of another kind
 
 	mu       sync.Mutex                     // protects requests
 	requests map[*dispatch.Request]struct{} // requests that are admitted and not completed
--- a/internal/gateway/listener/connection.go
+++ b/internal/gateway/listener/connection.go
@@ -93,7 +93,7 @@
 // hasStoppedReading reports whether a drain reads no further command on the connection, unless it is
 // the first. The caller must hold c.mu.
 func (c *connection) hasStoppedReading() bool {
-	return c.drain.hasStoppedReading(c.state.unblockedSince(time.Now()))
+	return c.drain.hasStoppedReading(c.state.lastBlocked(time.Now()))
 }
 
 // beginRequest counts a request in flight: a command that was admitted.
--- a/internal/gateway/listener/drain.go
+++ b/internal/gateway/listener/drain.go
@@ -24,8 +24,8 @@
 	// killMargin is how long before SIGKILL all commands must be answered. The process may be held
 	// up for a part of it.
 	killMargin = 200 * time.Millisecond
-	// abortLead is how long before that the requests that delay the answers of rejected commands are
-	// aborted.
+	// abortLead is how long before all commands must be answered the requests are aborted that delay
+	// the answers of rejected commands.
 	abortLead = 150 * time.Millisecond
 	// abortLeadDivisor caps abortLead at 1/abortLeadDivisor of the time from SIGTERM to SIGKILL.
 	abortLeadDivisor = 20
@@ -109,18 +109,18 @@
 	return d.active.Load() && time.Now().After(d.times.Load().forwardUntil)
 }
 
-// hasStoppedReading reports whether no new command is read on a connection, except the first, if its
-// latest request in flight ended at unblockedAt. Commands that were read in part are completed. Until
-// then, a connection is closed in the first moment in which all commands that have arrived are
-// answered. A client that sends faster than the gateway reads leaves no such moment, and without this
-// limit no answer would be the last.
-func (d *drainState) hasStoppedReading(unblockedAt time.Time) bool {
+// hasStoppedReading reports whether no new command, except the first, is read on a connection that
+// last had a request in flight at lastBlocked. Commands that were read in part are completed. While
+// reading goes on, a connection is closed in the first moment in which all commands that have arrived
+// are answered. A client that sends faster than the gateway reads leaves no such moment, and without
+// this limit no answer would be the last.
+func (d *drainState) hasStoppedReading(lastBlocked time.Time) bool {
 	if !d.active.Load() {
 		return false
 	}
 	now := time.Now()
 	times := d.times.Load()
-	hadTimeToPause := now.After(times.readUntil) && now.Sub(unblockedAt) > unblockedReadTime
+	hadTimeToPause := now.After(times.readUntil) && now.Sub(lastBlocked) > unblockedReadTime
 	return hadTimeToPause || now.After(times.answerBy)
 }
 
--- a/internal/gateway/listener/state.go
+++ b/internal/gateway/listener/state.go
@@ -39,7 +39,7 @@
 	phase        phase
 	inFlight     int       // commands whose first byte has arrived and that are not answered
 	requests     int       // commands that were admitted and are not completed
-	unblockedAt  time.Time // time at which the latest request was completed; zero before
+	requestEnded time.Time // time at which the latest request was completed; zero before the first
 	hasAnswered  bool      // an answer was written
 	hasRejected  bool      // a drain has rejected a command
 	lastUsed     time.Time // time of the accept or of the last answer
@@ -84,16 +84,16 @@
 // endRequest marks a request as completed.
 func (s *connectionState) endRequest(now time.Time) {
 	s.requests--
-	s.unblockedAt = now
+	s.requestEnded = now
 }
 
-// unblockedSince returns the time since which no request is in flight, which is now if there is one,
-// and zero if there never was one.
-func (s *connectionState) unblockedSince(now time.Time) time.Time {
+// lastBlocked returns the latest time at which a request was in flight: now if one is, and zero if
+// none ever was.
+func (s *connectionState) lastBlocked(now time.Time) time.Time {
 	if s.requests > 0 {
 		return now
 	}
-	return s.unblockedAt
+	return s.requestEnded
 }
 
 // markHalfClosed records that the sending half is closed after the last answer of a drain.
