Review case 9: requests behind hanging ones are lost at a shutdown with short deadlines

Seen: with deadlines of 0.2 s and half of the servers hanging, what came 0.46 s after SIGTERM behind hanging requests is left unread, and its connection is ended 0.29 s later.

At fault: rejectedCommandPause of 10 ms for each command past its deadline, and forwardUntil no earlier than answerBy.

It takes the place of the case of draining servers, whose scene stays in the stand-ins; that of clients that have gone is case 10 now.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
 	echo "could not run: bin/harrierhoist or bin/review-stage2 is not built" >&2
 	exit 2
 fi
-exec bin/review-stage2 drain review/10/record.txt
+exec bin/review-stage2 gone review/10/record.txt
--- a/review/testdata/stage2/client.go
+++ b/review/testdata/stage2/client.go
@@ -19,6 +19,7 @@
 	answer   string
 	answerAt time.Time // zero: no answer
 	ended    error     // what ended the connection before an answer
+	endedAt  time.Time
 }
 
 var requestNumber atomic.Uint64
@@ -99,6 +100,7 @@
 		answer, err := readAnswer(c.reader)
 		if err != nil {
 			r.ended = err
+			r.endedAt = time.Now()
 			c.rec.now("ended    %s without an answer: %v", r.id, err)
 		} else {
 			r.answer = answer
--- a/review/testdata/stage2/main.go
+++ b/review/testdata/stage2/main.go
@@ -28,6 +28,7 @@
 	counter    *counter
 	gateway    *gateway
 	submitBody string // the usual clients submit this; "": they query
+	mayEnd     bool   // the gateway was told to end
 }
 
 // scene is a case. It returns whether the rule was broken, and what was seen.
@@ -76,7 +77,7 @@
 		os.Exit(2)
 	}()
 	broken, seen, err := s(w)
-	if err == nil && !w.gateway.isRunning() {
+	if err == nil && !w.mayEnd && !w.gateway.isRunning() {
 		err = fmt.Errorf("the gateway has ended")
 	}
 	switch {
--- a/review/testdata/stage2/server.go
+++ b/review/testdata/stage2/server.go
@@ -29,6 +29,7 @@
 	rec      *record
 	workFor  func(id string) time.Duration
 	copies   atomic.Bool  // one answer in four is followed by a second copy
+	hangs    atomic.Bool  // takes work and answers nothing
 	still    sync.RWMutex // locked while the server stands still
 
 	mu    sync.Mutex
@@ -106,6 +107,10 @@
 		s.begun = append(s.begun, begun{id, time.Duration(told) * time.Millisecond, at})
 		s.mu.Unlock()
 		s.rec.at(at, "run      %s at %s, told d=%d", id, s.name, told)
+		if s.hangs.Load() {
+			_, _ = reader.ReadByte() // until the gateway gives the attempt up
+			return
+		}
 		time.Sleep(s.workFor(id))
 		value := "value of " + id
 		answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
