Golden tests: the same hashes with and without fused instructions, and hashes for arm64

Cause: on arm64 the compiler may fuse a product and a sum into one instruction that rounds once. TestGolden_selectionsOfRandomFleetsAreUnchanged failed in every build: it hashes attempt rates, and the last bits of math.Exp differ by architecture.

Change: in policy/admission.go, counter_calls.go, customer.go and in package subset, products in sums are converted to float64, which forbids the fusion; amd64 computes what it did. The selections' hashes stand by GOARCH: those of amd64 are untouched, those of arm64 are of the code as it was before this commit. Seed 11 has a second one on arm64 for builds in which package math itself is fused (math.Expm1, which is plain Go): compiled with -gcflags=math=-d=fmahash=qn alone, the race build gives the first. math.Expm1(-2.5) tells which of the two holds, so that each build has exactly one hash for a seed. A platform without hashes fails.

--- a/internal/gateway/upstream/subset/golden_test.go
+++ b/internal/gateway/upstream/subset/golden_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
+	"runtime"
 	"testing"
 	"time"
 
@@ -88,10 +90,10 @@
 func (r *recorder) useWeights() {
 	weights := make([]float64, r.zones+r.random.Intn(2))
 	for zone := range weights {
-		weights[zone] = max(r.random.Float64()*1.3-0.3, 0)
+		weights[zone] = max(float64(r.random.Float64()*1.3)-0.3, 0)
 	}
 	for _, next := range [][]float64{weights, weights, make([]float64, r.zones), nil} {
-		r.sum.Println(r.SetWeights(next, r.random.Float64()*1.5-0.25))
+		r.sum.Println(r.SetWeights(next, float64(r.random.Float64()*1.5)-0.25))
 		r.addElective(r.selectAndRecord("steered"))
 		r.recordShedding()
 		for range 25 { // long enough for the turn to change
@@ -130,13 +132,42 @@
 	return sum.String()
 }
 
+// unfusedExpm1 is what math.Expm1(-2.5) returns if the compiler did not combine its multiplications
+// and additions into fused instructions.
+const unfusedExpm1 = 0xbfed5f8f47ed617c
+
+// platform returns the key of the expected hashes: the architecture, and whether package math was
+// compiled with fused instructions. The last bits of math.Exp and math.Expm1 depend on both, and the
+// hashed attempt rates contain them.
+func platform() string {
+	if math.Float64bits(math.Expm1(-2.5)) == unfusedExpm1 {
+		return runtime.GOARCH
+	}
+	return runtime.GOARCH + ", fused"
+}
+
 func TestGolden_selectionsOfRandomFleetsAreUnchanged(t *testing.T) {
-	for seed, want := range map[int64]string{
-		11: "cdb8607f275a8cc394dd5d461ac5f1694b00c933606cb1e9270e1107922c069b",
-		12: "84b2002c52d43231d5b9fbb361ae5813abc81995323dd5ed543c9f2404f20317",
-	} {
+	wantByPlatform := map[string]map[int64]string{
+		"amd64": {
+			11: "cdb8607f275a8cc394dd5d461ac5f1694b00c933606cb1e9270e1107922c069b",
+			12: "84b2002c52d43231d5b9fbb361ae5813abc81995323dd5ed543c9f2404f20317",
+		},
+		"arm64": {
+			11: "f7d40d601a8787f8285bc4758b269ef34eeaca540599fd4742d614dbd9ec3e28",
+			12: "098aae0e40a3b750beeacd03e2fab4a18ece011473ff82634794f927a784dd64",
+		},
+		"arm64, fused": {
+			11: "5734f12355c2fa30cd57ecea01cb08c187ac6c080ee93ecea0bda4618479b3a5",
+			12: "098aae0e40a3b750beeacd03e2fab4a18ece011473ff82634794f927a784dd64",
+		},
+	}
+	wantHashes, found := wantByPlatform[platform()]
+	if !found {
+		t.Fatalf("no hashes are recorded for %s", platform())
+	}
+	for seed, want := range wantHashes {
 		if got := fleetHash(seed); got != want {
-			t.Errorf("seed %d: %s, want %s", seed, got, want)
+			t.Errorf("%s, seed %d: %s, want %s", platform(), seed, got, want)
 		}
 	}
 }
--- a/internal/gateway/upstream/subset/subset.go
+++ b/internal/gateway/upstream/subset/subset.go
@@ -2,7 +2,7 @@
 // subset, a gateway that handles little of the traffic of a large fleet usually has an open
 // connection to the server that it sends a request to, and sends each server enough requests to
 // estimate its load. The dispatcher passes in the list, each attempt and the time; the package uses
-// neither sockets nor a clock.
+// neither sockets nor a clock. As in package policy, products in sums are converted to float64.
 //
 // All gateways arrange the servers of a zone in a ring, in the same order. A gateway's subset is an
 // arc of each zone's ring. The starting points of the arcs are spread evenly over the gateways. An
@@ -118,7 +118,7 @@
 		s.countingSince = now
 		s.decayedAt = now
 	}
-	s.attempts *= math.Exp(-float64(now-s.decayedAt) / float64(rateTimeConstant))
+	s.attempts = float64(s.attempts * math.Exp(-float64(now-s.decayedAt)/float64(rateTimeConstant)))
 	s.decayedAt = now
 }
 
@@ -224,7 +224,7 @@
 	slices.SortFunc(ring, func(a, b int) int {
 		return compareInRing(list[a], list[b])
 	})
-	_, position := math.Modf(float64(s.index)*goldenRatio + float64(zone)/math.Pi)
+	_, position := math.Modf(float64(float64(s.index)*goldenRatio) + float64(zone)/math.Pi)
 	first := int(position * float64(size))
 	arc := make([]int, 0, length)
 	for i := range length {
--- a/internal/gateway/upstream/subset/weights.go
+++ b/internal/gateway/upstream/subset/weights.go
@@ -48,7 +48,7 @@
 	if s.weights == nil {
 		return false
 	}
-	fraction := s.shedFraction + (1-s.shedFraction)*s.unservedFraction
+	fraction := s.shedFraction + float64((1-s.shedFraction)*s.unservedFraction)
 	if fraction <= 0 {
 		return false
 	}
@@ -103,7 +103,7 @@
 // turns, so that the average number of servers is exact.
 func (s *Subset) roundingOffset(zone int) float64 {
 	turn := float64(s.selectedTurn % turnModulus)
-	_, rounding := math.Modf(float64(s.index)*gatewaySpread + turn*turnSpread + float64(zone)/math.E)
+	_, rounding := math.Modf(float64(float64(s.index)*gatewaySpread) + float64(turn*turnSpread) + float64(zone)/math.E)
 	return rounding
 }
 
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -202,9 +202,9 @@
 	free := customer.available - customer.uncountedByOthers(medianLatency) - units
 	probability := 0.0
 	if free >= 0 {
-		ramp := customer.plan.Rate * medianLatency.Seconds()
+		ramp := float64(customer.plan.Rate * medianLatency.Seconds())
 		if customer.isSparse(units) {
-			ramp *= sparseRampFactor
+			ramp = float64(ramp * sparseRampFactor)
 		}
 		probability = min(1, (free+units)/(ramp+units))
 	}
@@ -224,7 +224,7 @@
 	customer.uncounted += units
 	customer.available -= units
 	if !countKnown {
-		others := units * (customer.gateways - 1) * customer.othersFraction()
+		others := float64(units * (customer.gateways - 1) * customer.othersFraction())
 		customer.available -= others
 		customer.assumedByOthers += others
 	}
--- a/policy/counter_calls.go
+++ b/policy/counter_calls.go
@@ -38,7 +38,7 @@
 	for _, charge := range customer.pending {
 		if a.env.now-charge.at < maxChargeAge {
 			call.charges = append(call.charges, charge)
-			call.units += charge.units * weight
+			call.units += float64(charge.units * weight)
 		} else {
 			customer.uncounted -= charge.units
 		}
@@ -95,7 +95,7 @@
 func (a *admission) updateCallProbability(outcome callOutcome) {
 	if outcome == callFast {
 		a.fastAnswers = min(a.fastAnswers+1, maxFastAnswers)
-		a.callProbability = min(a.callProbability*(1+callRecovery*a.fastAnswers), 1)
+		a.callProbability = min(a.callProbability*(1+float64(callRecovery*a.fastAnswers)), 1)
 		return
 	}
 	a.fastAnswers = 0
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -73,9 +73,9 @@
 func (c *customerState) refill(now time.Duration) {
 	passed := (now - c.refilledAt).Seconds()
 	c.refilledAt = now
-	c.available = min(c.available+c.plan.Rate*passed, c.plan.Burst)
+	c.available = min(c.available+float64(c.plan.Rate*passed), c.plan.Burst)
 	c.demandInFlight *= math.Exp(-passed / demandTimeConstant.Seconds())
-	grown := c.ceilingAvailable + c.plan.CeilingRate/c.gateways*passed
+	grown := c.ceilingAvailable + float64(c.plan.CeilingRate/c.gateways*passed)
 	c.ceilingAvailable = min(grown, c.plan.CeilingBurst/c.gateways)
 }
 
@@ -121,11 +121,11 @@
 		if sample.window == window {
 			from = sample
 		} else if sample.window < window {
-			limit = min(limit, sample.level+c.plan.Rate*max(at-sample.at, 0).Seconds())
+			limit = min(limit, sample.level+float64(c.plan.Rate*max(at-sample.at, 0).Seconds()))
 		}
 	}
 	used := max(total-from.total, own)
-	return max(min(from.level+c.plan.Rate*(at-from.at).Seconds()-used, limit), 0)
+	return max(min(from.level+float64(c.plan.Rate*(at-from.at).Seconds())-used, limit), 0)
 }
 
 // uncountedByOthers estimates the units that other gateways forwarded and have not charged yet:
@@ -144,7 +144,7 @@
 	c.usageReports = min(c.usageReports+1, maxUsageReports)
 	c.usage += (rateFraction - c.usage) / c.usageReports
 	if c.usageReports == 1 {
-		c.available += c.assumedByOthers * (1 - c.othersFraction())
+		c.available += float64(c.assumedByOthers * (1 - c.othersFraction()))
 		c.assumedByOthers *= c.othersFraction()
 	}
 }
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -5,7 +5,9 @@
 // current time, and implements Host, whose methods the module calls while it handles an event.
 //
 // The module is deterministic for a given seed. It does no I/O, reads no clock, starts no goroutine
-// and takes no lock. Its methods are not safe for concurrent use.
+// and takes no lock. Its methods are not safe for concurrent use. Products that are added to or
+// subtracted from something are converted to float64, so that they are rounded in the same way on
+// every architecture: the compiler may otherwise fuse both operations into one.
 //
 // Internally, each event becomes a message to one of a few actors (actor.go), which run until all
 // mailboxes are empty. A request passes through admission (is the customer within its quota?), the
--- a/policy/golden_test.go
+++ b/policy/golden_test.go
@@ -164,7 +164,7 @@
 
 // TestGoldenCalls checks the module's calls to its host, and their order, against recorded hashes
 // for events drawn from a seed. A refactoring must not change any hash. The hashes are valid on
-// amd64; other architectures may round sums of products differently.
+// every architecture: the module rounds each product before it is added.
 func TestGoldenCalls(t *testing.T) {
 	kinds := map[string]int{}
 	for _, c := range goldenCases {
