No attempt begins for a client whose close may be hidden behind a full receive window

Cause: 16 commands of a connection are read and the rest stays in the socket. With its receive window full the client's system cannot send the close, and TCP_INFO shows an open connection until an answer is written.

The decision module asks for the presence of a request's client when it has a server for it; unknown, the request waits without the server, up to its objective; unverifiable (no earlier answer is outstanding), it is rejected, which tells for those behind it. Each attempt asks again before its first byte. The TCP state is read last: TCP_INFO reads it before the lock that covers its other fields.

--- a/internal/gateway/dispatch/request.go
+++ b/internal/gateway/dispatch/request.go
@@ -21,6 +21,9 @@
 	Units        float64
 	Timeout      time.Duration // from the call of Admit
 	Repeat       bool          // the client states that it has sent the request before
+	// Presence returns the presence of the client; nil: it is always connected. It is called with
+	// the dispatcher's lock held, and must not call the dispatcher.
+	Presence func() policy.Presence
 }
 
 // Request is a request in flight. One goroutine handles it, by calling Next and ReportResult;
@@ -61,6 +64,7 @@
 	policyRequest := policy.Request{
 		ID: request.id, Class: spec.Class, Plan: spec.Plan, Customer: spec.Customer, FirstGateway: spec.FirstGateway,
 		GatewayCount: spec.GatewayCount, Units: spec.Units, Deadline: now + spec.Timeout, Repeat: spec.Repeat,
+		Presence: spec.Presence,
 	}
 	request.tracker = d.accounts.TrackRequest(now, policyRequest)
 	policyRequest.PreferredOwner = request.tracker.PreferredPartner()
--- a/internal/gateway/listener/client.go
+++ b/internal/gateway/listener/client.go
@@ -6,11 +6,12 @@
 	"net/textproto"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"harrierhoist/internal/gateway/dispatch"
 	"harrierhoist/internal/gateway/resp"
-	"harrierhoist/internal/gateway/upstream"
+	"harrierhoist/policy"
 )
 
 const (
@@ -34,6 +35,7 @@
 	inFlightTokens chan struct{}      // one token for each further command that may be in flight
 	pipeline       textproto.Pipeline // orders the answers
 	lastReplies    *replyBatch        // batch that takes further replies; nil if the latest answer is of another kind
+	nextWritten    atomic.Uint64      // pipeline ID of the next answer to be written
 
 	mu       sync.Mutex                     // protects requests
 	requests map[*dispatch.Request]struct{} // requests that are admitted and not completed
@@ -120,15 +122,14 @@
 		c.answerUnreadable(c.nextAnswer(), outcome, err)
 		return false
 	}
-	checkedAt := time.Now()
-	age, isClosed := c.conn.PeerState()
-	if isClosed && !command.mayBePing() {
+	peer := c.conn.checkPeer()
+	if peer.IsClosed && !command.mayBePing() {
 		c.discard(command)
 		return false
 	}
-	request, message, reply := c.admitCommand(command, age)
+	admitted, reply := c.admitCommand(command, peer.ReceivedAgo)
 	if reply == "" {
-		c.listener.workers.run(job{c, c.nextAnswer(), request, message, command.memory, checkedAt})
+		c.listener.workers.run(admitted)
 		return true
 	}
 	c.discard(command)
@@ -141,19 +142,19 @@
 
 // admitCommand parses a command and admits the request under the same settings. If the command is
 // not a valid request, it returns the line that answers it.
-func (c *client) admitCommand(
-	command *pendingCommand, age time.Duration,
-) (request *dispatch.Request, message *upstream.Command, reply string) {
+func (c *client) admitCommand(command *pendingCommand, age time.Duration) (admitted job, reply string) {
 	if !command.mayBePing() && c.conn.rejectIfLate() {
-		return nil, nil, rejectionLine(0)
+		return job{}, rejectionLine(0)
 	}
 	c.listener.settingsMu.RLock()
 	defer c.listener.settingsMu.RUnlock()
 	spec, message, reply := c.listener.parse(command, age)
 	if reply != "" {
-		return nil, nil, reply
+		return job{}, reply
 	}
-	return c.admit(spec), message, ""
+	pipelineID := c.nextAnswer()
+	spec.Presence = func() policy.Presence { return c.presence(pipelineID) }
+	return job{c, pipelineID, c.admit(spec), message, command.memory}, ""
 }
 
 // admit passes a request to the dispatcher and records it, so that a disconnect is reported for it.
@@ -174,6 +175,11 @@
 	delete(c.requests, request)
 }
 
+// isNextWritten reports whether all answers before the one with the given pipeline ID are written.
+func (c *client) isNextWritten(pipelineID uint) bool {
+	return c.nextWritten.Load() == uint64(pipelineID)
+}
+
 // nextAnswer returns the pipeline ID of the next answer. Only the reading goroutine may call it.
 func (c *client) nextAnswer() uint {
 	c.lastReplies = nil
@@ -201,6 +207,7 @@
 		_ = c.conn.Close() // close first: the client would read the next answer as the rest of this one
 	}
 	c.conn.endCommands(commands)
+	c.nextWritten.Store(uint64(pipelineID) + 1)
 	c.pipeline.EndResponse(pipelineID)
 	c.returnTokens(commands)
 }
--- a/internal/gateway/listener/connection.go
+++ b/internal/gateway/listener/connection.go
@@ -41,7 +41,7 @@
 }
 
 func newConnection(conn *resp.Conn, drain *drainState) *connection {
-	return &connection{Conn: conn, drain: drain, state: connectionState{lastUsed: time.Now()}}
+	return &connection{Conn: conn, drain: drain, state: connectionState{lastUsed: time.Now(), connectedAt: time.Now()}}
 }
 
 // awaitCommand waits for a command, and counts it unless countReadAhead has done so. It returns
--- a/internal/gateway/listener/execute.go
+++ b/internal/gateway/listener/execute.go
@@ -8,6 +8,7 @@
 
 	"harrierhoist/internal/gateway/dispatch"
 	"harrierhoist/internal/gateway/upstream"
+	"harrierhoist/policy"
 )
 
 // workerPool executes jobs on goroutines that it reuses, so that each stack grows only once to the
@@ -40,8 +41,7 @@
 	pipelineID uint // orders the answer among those on the connection
 	request    *dispatch.Request
 	message    *upstream.Command
-	memory     int       // reserved memory in bytes
-	checkedAt  time.Time // time at which the client was last known to be connected
+	memory     int // reserved memory in bytes
 }
 
 // run executes the request, writes its answer and releases its resources.
@@ -62,7 +62,7 @@
 	for {
 		switch decision := j.request.Next(); decision.Action {
 		case dispatch.Forward:
-			decision.BeginSend = j.sendUnlessDisconnected(decision.BeginSend)
+			decision.BeginSend = j.sendIfConnected(decision.BeginSend)
 			result, value := j.client.listener.upstream.Attempt(decision, j.message)
 			j.request.ReportResult(result)
 			if value != nil {
@@ -81,17 +81,19 @@
 	}
 }
 
-// sendUnlessDisconnected returns a function that begins an attempt unless the client has
-// disconnected. After a pause of the process, the timers of the decision module may run before the
-// reader notices the disconnect. An attempt that begins soon after the command was read needs no
-// check.
-func (j job) sendUnlessDisconnected(beginSend func() bool) func() bool {
+// sendIfConnected returns a function that begins an attempt if the client is known to be connected.
+// After a pause of the process, the timers of the decision module may run before the reader notices
+// a disconnect. If the presence of the client is unknown, the decision module waits for it.
+func (j job) sendIfConnected(beginSend func() bool) func() bool {
 	return func() bool {
-		if time.Since(j.checkedAt) > disconnectPollInterval && j.client.conn.IsPeerClosed() {
+		switch j.client.conn.presence() {
+		case policy.ClientConnected:
+			return beginSend()
+		case policy.ClientDisconnected:
 			j.request.Disconnect()
-			return false
+		case policy.ClientUnknown, policy.ClientUnverifiable:
 		}
-		return beginSend()
+		return false
 	}
 }
 
--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -4,7 +4,8 @@
 // on SIGTERM.
 //
 // Lock order: Listener.settingsMu is taken before the dispatcher's lock, openRequestIDs.mu and
-// client.mu, and connectionTable.mu is taken before connection.mu. No other locks are nested.
+// client.mu; the dispatcher's lock and connectionTable.mu are taken before connection.mu. No other
+// locks are nested.
 package listener
 
 import (
--- a/internal/gateway/listener/state.go
+++ b/internal/gateway/listener/state.go
@@ -44,6 +44,7 @@
 	hasRejected  bool      // a drain has rejected a command
 	lastUsed     time.Time // time of the accept or of the last answer
 	halfClosedAt time.Time // set by markHalfClosed
+	connectedAt  time.Time // latest time at which the client is known to have been connected
 }
 
 // isClosed reports whether no further command is counted.
@@ -96,6 +97,13 @@
 	return s.requestEnded
 }
 
+// recordConnected records that the client was connected at a time.
+func (s *connectionState) recordConnected(at time.Time) {
+	if at.After(s.connectedAt) {
+		s.connectedAt = at
+	}
+}
+
 // markHalfClosed records that the sending half is closed after the last answer of a drain.
 func (s *connectionState) markHalfClosed(now time.Time) {
 	s.phase = phaseHalfClosed
--- a/internal/gateway/resp/peerstate.go
+++ b/internal/gateway/resp/peerstate.go
@@ -20,32 +20,64 @@
 	unix.BPF_TCP_TIME_WAIT,
 }
 
-// PeerState returns the time since the latest bytes arrived at this machine, with an accuracy of a
-// few milliseconds, and whether the peer has closed its sending half or reset the connection. It
-// does not block. It detects a close even if bytes that arrived before it are unread, but not a
-// close that the peer cannot send yet because the receive window is full. If this side has closed
-// the connection, closed is true. On a connection without a TCP state, PeerState returns zero and
-// false; there, only a read detects the close.
-func (c *Conn) PeerState() (age time.Duration, closed bool) {
-	closed = c.rawConn != nil // stays true if this side has closed the connection: there is no descriptor then
-	c.withDescriptor(func(fd int) {
-		closed = false
-		info, err := tcpInfo(fd)
-		if err != nil {
-			return
-		}
-		age = time.Duration(info.Last_data_recv) * time.Millisecond
-		closed = slices.Contains(peerClosedStates, info.State)
-	})
-	return age, closed
+// PeerState is what this machine's system knows about the peer of a connection. Times have an
+// accuracy of a few milliseconds.
+type PeerState struct {
+	ReceivedAgo time.Duration // time since the latest bytes arrived at this machine
+	IsClosed    bool          // the peer has closed its sending half or reset the connection, or this side has closed
+	// OpenAt is the latest time at which the peer is known to have been open; zero if it is closed or
+	// none is known.
+	OpenAt time.Time
+	// HasUnacknowledged reports whether written bytes are not acknowledged yet.
+	HasUnacknowledged bool
 }
 
-// IsPeerClosed returns the second result of PeerState.
-func (c *Conn) IsPeerClosed() bool {
-	_, closed := c.PeerState()
-	return closed
+// PeerState returns the state of the peer. It does not block. It detects a close even if bytes that
+// arrived before it are unread. While the receive window may be full, the peer's system may hold back
+// a close. The peer is then known to have been open when it received the latest bytes written, if
+// it has acknowledged all: the system of a closed peer answers bytes with a reset. On a connection
+// without a TCP state, the peer always counts as open, and only a read detects the close.
+func (c *Conn) PeerState() PeerState {
+	now := time.Now()
+	state := PeerState{OpenAt: now, IsClosed: c.rawConn != nil} // there is no descriptor once this side has closed
+	c.withDescriptor(func(fd int) { state = peerStateOf(fd, now) })
+	if state.IsClosed {
+		state.OpenAt = time.Time{}
+	}
+	return state
 }
 
+// peerStateOf returns the state of the peer of an open connection. It reads the TCP state last: what
+// was read before holds only if the connection was open after it.
+func peerStateOf(fd int, now time.Time) PeerState {
+	state := PeerState{OpenAt: now}
+	mayHide := mayHideClose(fd)
+	info, err := tcpInfo(fd)
+	if err != nil {
+		return state
+	}
+	state.ReceivedAgo = time.Duration(info.Last_data_recv) * time.Millisecond
+	state.HasUnacknowledged = hasUnacknowledged(info)
+	if mayHide {
+		state.OpenAt = acknowledgedAt(now, info)
+		info, err = tcpInfo(fd) // the system reads the TCP state before the other fields
+	}
+	state.IsClosed = err == nil && slices.Contains(peerClosedStates, info.State)
+	return state
+}
+
+// acknowledgedAt returns the time at which the latest bytes were sent if the peer's system has
+// acknowledged all, and zero otherwise.
+func acknowledgedAt(now time.Time, info *unix.TCPInfo) time.Time {
+	if hasUnacknowledged(info) {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(info.Last_data_sent) * time.Millisecond)
+}
+
+// IsPeerClosed reports whether the peer is known to have closed, see PeerState.
+func (c *Conn) IsPeerClosed() bool { return c.PeerState().IsClosed }
+
 // AwaitPeerClose blocks until the peer has closed its sending half or reset the connection. It
 // consumes no bytes. It returns os.ErrInvalid on a connection without a descriptor, and otherwise
 // the errors of syscall.RawConn, for example at the read deadline.
@@ -69,12 +101,14 @@
 	pending := false
 	c.withDescriptor(func(fd int) {
 		if info, err := tcpInfo(fd); err == nil {
-			pending = info.Unacked > 0 || info.Notsent_bytes > 0
+			pending = hasUnacknowledged(info)
 		}
 	})
 	return pending
 }
 
+func hasUnacknowledged(info *unix.TCPInfo) bool { return info.Unacked > 0 || info.Notsent_bytes > 0 }
+
 // IsIdle reports whether the connection is open and has no unread bytes. It does not block. It
 // returns false on a connection without a descriptor.
 func (c *Conn) IsIdle() bool {
--- a/internal/gateway/resp/peerstate_test.go
+++ b/internal/gateway/resp/peerstate_test.go
@@ -13,10 +13,7 @@
 
 func TestPeerStateReportsAgeOfUnreadBytes(t *testing.T) {
 	c, far := connPair(t)
-	age := func() time.Duration {
-		age, _ := c.PeerState()
-		return age
-	}
+	age := func() time.Duration { return c.PeerState().ReceivedAgo }
 	_, _ = io.WriteString(far, "x")
 	fakes.Eventually(t, "an age of 50 ms", func() bool { return age() >= 50*time.Millisecond })
 	if _, err := c.Read(make([]byte, 1)); err != nil || age() < 50*time.Millisecond {
@@ -52,6 +49,37 @@
 	}
 }
 
+// Guards against taking a peer for open whose system cannot send the close.
+func TestPeerState_closeBehindAFullReceiveWindow(t *testing.T) {
+	c, far := connPair(t)
+	if openAgo := time.Since(c.PeerState().OpenAt); openAgo > time.Second {
+		t.Errorf("before any byte, the peer was last open %v ago", openAgo)
+	}
+	_ = far.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	for blocked := false; !blocked; {
+		_, err := io.WriteString(far, strings.Repeat("x", 1<<20))
+		blocked = err != nil
+	}
+	hiddenSince := c.PeerState().OpenAt
+	if time.Since(hiddenSince) < 100*time.Millisecond {
+		t.Error("the peer counts as open although the receive window is full")
+	}
+	_, _ = io.WriteString(c.Conn, "answer")
+	fakes.Eventually(t, "open when it received the answer", func() bool {
+		return c.PeerState().OpenAt.After(hiddenSince)
+	})
+	_, _ = io.ReadFull(far, make([]byte, len("answer"))) // otherwise the close would be a reset
+	_ = far.Close()
+	if state := c.PeerState(); state.IsClosed {
+		t.Error("the close is not hidden")
+	}
+	_, _ = io.WriteString(c.Conn, "answer")
+	fakes.Eventually(t, "the close", c.IsPeerClosed)
+	if state := c.PeerState(); !state.OpenAt.IsZero() {
+		t.Errorf("the closed peer counts as open at %v", state.OpenAt)
+	}
+}
+
 // A value that reserve rejects is discarded, and the command after it can be read.
 func TestReadCommandDiscardsValueWithoutMemory(t *testing.T) {
 	for _, size := range []int{0, 1, bufferSize, maxValueSize} {
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -62,7 +62,7 @@
 	shed := isNew && b.shouldShed(request)
 	switch {
 	case s != nil && (!shed || !s.isWarm()):
-		b.env.send(s, startAttempt{request})
+		b.startAttempt(request, s)
 	case !shed && b.env.now < b.waitDeadline(request):
 		request.awaitedServer = true
 		b.env.setTimer(timerPlacement, request.ID, placementRetryDelay)
@@ -71,10 +71,27 @@
 	}
 }
 
+// startAttempt sends a request to a server if its client is known to be connected. If it is not, no
+// attempt may begin: the request waits without a server, up to the end of its latency objective. It
+// is completed immediately if nothing but its own answer can show whether the client is connected.
+func (b *balancer) startAttempt(request *requestState, s *server) {
+	presence := request.presence()
+	switch {
+	case presence == ClientConnected:
+		b.env.send(s, startAttempt{request})
+	case presence != ClientUnverifiable && b.env.now < request.objectiveAt:
+		request.awaitedClient = true
+		b.env.setTimer(timerPlacement, request.ID, placementRetryDelay)
+	default:
+		b.env.send(b.lifecycle, &completeRequest{request, b.capacityWait()})
+	}
+}
+
 // waitDeadline returns the time until which a request without a server waits for one: capacityWait
-// after its arrival, or the end of its latency objective if no server is ready.
+// after its arrival, or the end of its latency objective if no server is ready or the request could
+// not use a server because the presence of its client was unknown.
 func (b *balancer) waitDeadline(request *requestState) time.Duration {
-	if len(b.ready) == 0 {
+	if len(b.ready) == 0 || request.awaitedClient {
 		return request.objectiveAt
 	}
 	return request.objectiveAt - request.class.LatencyObjective + b.capacityWait()
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -37,6 +37,37 @@
 	h.wantLogged("reject 1, retry after 125ms", 1)
 }
 
+// Guards against attempts for a client of which it is not known whether it is still connected.
+func TestPlacement_waitsForAConnectedClient(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after Presence
+		wait          time.Duration
+		wantAttempts  int
+		wantRejected  int
+	}{
+		"connected later":            {ClientUnknown, ClientConnected, 300 * ms, 1, 0},
+		"disconnect not yet noticed": {ClientDisconnected, ClientDisconnected, 300 * ms, 0, 0},
+		"unknown until the end":      {ClientUnknown, ClientUnknown, 300 * ms, 0, 1},
+		"unverifiable":               {ClientUnverifiable, ClientUnverifiable, 0, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, testSettings(), 1)
+			presence := c.before
+			h.send(Request{ID: 1, Customer: 1, Units: 1, Presence: func() Presence { return presence }})
+			h.answerCounter()
+			h.wantAttempts(1, 0)
+			h.advance(c.wait)
+			presence = c.after
+			h.advance(20 * ms)
+			h.wantAttempts(1, c.wantAttempts)
+			if presence == ClientUnknown {
+				h.advance(300 * ms)
+			}
+			h.wantLogged("reject 1, retry after 125ms", c.wantRejected)
+		})
+	}
+}
+
 func TestSlowStart_deploymentLeavesNoWarmServer(t *testing.T) {
 	for _, kind := range []ListKind{ListDelta, ListFull} {
 		h := newHarness(t, testSettings(), 4)
--- a/policy/host.go
+++ b/policy/host.go
@@ -58,6 +58,17 @@
 	Elective bool
 }
 
+// Presence is whether the client of a request is connected, as far as the gateway knows.
+type Presence uint8
+
+// Presences of a client.
+const (
+	ClientConnected    Presence = iota
+	ClientDisconnected          // the gateway is about to report it (Gateway.HandleDisconnect)
+	ClientUnknown               // earlier answers on its connection will show it
+	ClientUnverifiable          // no earlier answer is outstanding; only the request's own answer will show it
+)
+
 // Request is a request of a client.
 type Request struct {
 	ID           uint32 // unique among requests without a final answer
@@ -72,6 +83,9 @@
 	// PreferredOwner is the owner whose servers get the first attempt of an idempotent request, if
 	// one of them has capacity; 0: none.
 	PreferredOwner int
+	// Presence returns the presence of the client; nil: it is always connected. It must not deliver an
+	// event to the module.
+	Presence func() Presence
 }
 
 // AttemptResult is the result of an attempt.
--- a/policy/request_state.go
+++ b/policy/request_state.go
@@ -25,6 +25,7 @@
 	claimedWindow int64 // window whose count of attempts in flight includes this request; noWindow: none
 	streaming     bool  // a streamed answer has started
 	awaitedServer bool  // it waits or has waited for a server with capacity
+	awaitedClient bool  // a server had capacity for it while the presence of its client was unknown
 	completed     bool  // it has its final answer, or its client has disconnected
 }
 
@@ -45,6 +46,14 @@
 	state      attemptState
 }
 
+// presence returns the presence of the request's client.
+func (r *requestState) presence() Presence {
+	if r.Presence == nil {
+		return ClientConnected
+	}
+	return r.Presence()
+}
+
 func (r *requestState) lastAttemptAt() time.Duration { return r.attempts[len(r.attempts)-1].startedAt }
 
 func (r *requestState) hasAttemptInFlight() bool {
