Test of drains with short deadlines: connects before the drain, and judges each command

Change: clients connect before the drain begins and keep their connections busy from 0.3 s after it on. A command is judged by its own time: it may meet the end of its connection within 0.1 s. Before, the whole batch went by the time of its end, and a failed write before the batch ended the test.

--- a/internal/gateway/listener/drainshort_test.go
+++ b/internal/gateway/listener/drainshort_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,9 +14,14 @@
 	"harrierhoist/policy"
 )
 
-// maxCrossing is how long after it was sent a batch may meet the end of its connection without having
-// been taken.
-const maxCrossing = 100 * time.Millisecond
+const (
+	// maxCrossing is how long after it was sent a command may meet the end of its connection without
+	// having been taken.
+	maxCrossing = 100 * time.Millisecond
+	// keepBusyAfter is the time from the begin of the drain to the first command. An active drain ends
+	// connections without commands in flight.
+	keepBusyAfter = 300 * time.Millisecond
+)
 
 // shortDrain is a drain in which clients send many commands at once, of which some hang.
 type shortDrain struct {
@@ -82,12 +88,11 @@
 	f.start()
 	var clients sync.WaitGroup
 	began := time.Now()
-	go f.Drain(f.socket)
-	time.Sleep(390 * time.Millisecond) // connections that are used close to the end of accepting stay open
 	for range 4 {
 		c := f.dial()
-		clients.Go(func() { s.sendBatch(c, began.Add(s.sendAfter)) })
+		clients.Go(func() { s.sendBatch(c, began) })
 	}
+	go f.Drain(f.socket)
 	if s.reloadTo > 0 {
 		time.Sleep(time.Until(began.Add(s.sendAfter + 20*time.Millisecond)))
 		settings.Classes = classesOf([]time.Duration{s.reloadTo})
@@ -102,24 +107,29 @@
 	}
 }
 
-// sendBatch sends commands that keep the connection busy until a time, and then the batch. All must be
-// answered before the connection ends, unless the batch crossed the end.
-func (s shortDrain) sendBatch(c *testClient, at time.Time) {
-	var batch strings.Builder
-	for number := range s.commands {
-		batch.WriteString(s.command(number))
+// sendBatch sends commands that keep the connection busy until it sends the batch. All must be answered
+// before the connection ends, unless they crossed its end.
+func (s shortDrain) sendBatch(c *testClient, began time.Time) {
+	batch := make([]string, s.commands)
+	for number := range batch {
+		batch[number] = s.command(number)
 	}
-	sent := s.commands
-	for ; time.Until(at) > 0; sent++ {
-		c.send(s.command(sent))
-		time.Sleep(min(s.timeouts[0]/2, 50*time.Millisecond, time.Until(at)))
+	sendAt := began.Add(s.sendAfter)
+	time.Sleep(time.Until(began.Add(keepBusyAfter)))
+	var sentAt []time.Time // by command
+	for time.Until(sendAt) > 0 {
+		sentAt = append(sentAt, time.Now())
+		if _, err := io.WriteString(c, s.command(len(sentAt))); err != nil {
+			break // the connection has ended, and the answers tell whether that was allowed
+		}
+		time.Sleep(min(s.timeouts[0]/2, 50*time.Millisecond, time.Until(sendAt)))
 	}
-	sentAt := time.Now()
-	go func() { _, _ = io.WriteString(c, batch.String()) }()
-	for answered := range sent {
+	sentAt = append(sentAt, slices.Repeat([]time.Time{time.Now()}, s.commands)...)
+	go func() { _, _ = io.WriteString(c, strings.Join(batch, "")) }()
+	for answered, at := range sentAt {
 		if _, err := c.reader.Peek(1); err != nil {
-			if time.Since(sentAt) > maxCrossing {
-				c.Errorf("%d of %d commands were answered: %v", answered, sent, err)
+			if time.Since(at) > maxCrossing {
+				c.Errorf("%d of %d commands were answered: %v", answered, len(sentAt), err)
 			}
 			return
 		}
