Commands and connections that serve no request leave the processor to requests

Callers saw answers up to 3.4 s late, or none, while other clients sent PING or kept connecting.

Cause: a PING was answered without the pause that follows other replies, and a reader whose bytes are always there never blocks: with one processor the runtime then polls the network only every 10 ms, at each of a request's hops. In a drain nothing paused at all. A request beyond its quota returned its token at once, and each malformed command was followed by a new connection at full speed.

Change: a pacer, common to all connections, gives such work a bounded rate: replies without admission (2,000 a second, 5,000 in a drain, with at least 10 ms or 2 ms between two on a connection), requests that end without an attempt (their token returns late, the answer does not), connections that end with an error, and accepts beyond a burst. The first answer of a connection never waits. A drain pauses too, except for requests that it rejects and once it must answer. A connection that its client has closed unread takes no slot.

--- a/internal/gateway/listener/client.go
+++ b/internal/gateway/listener/client.go
@@ -4,6 +4,7 @@
 	"errors"
 	"maps"
 	"net/textproto"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,11 +22,6 @@
 	// malformedCloseTimeout is how long a client may take to read the answer to a malformed
 	// command.
 	malformedCloseTimeout = time.Second
-	// rejectedCommandPause is the pause in reading from a client after a command that was answered
-	// without being admitted. Without it, such commands could take all processor time.
-	rejectedCommandPause = 10 * time.Millisecond
-	// maxInFlightPerConn is the maximum number of commands in flight on a connection.
-	maxInFlightPerConn = 16
 )
 
 // client reads the commands of one connection and writes the answers in the order of the commands.
@@ -66,42 +62,6 @@
 	}
 }
 
-// awaitToken waits until one more command may be in flight. Once a drain has stopped forwarding, it
-// waits no longer: further commands are rejected, and would be lost if they stayed unread behind
-// requests that hang. It returns false if the client disconnects.
-func (c *client) awaitToken() bool {
-	select {
-	case <-c.inFlightTokens:
-		return true
-	default:
-	}
-	ticker := time.NewTicker(disconnectPollInterval)
-	defer ticker.Stop()
-	for !c.listener.drain.hasStoppedForwarding() {
-		select {
-		case <-c.inFlightTokens:
-			return true
-		case <-ticker.C:
-			if c.conn.IsPeerClosed() {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// returnTokens returns the tokens of answered commands. It discards those beyond maxInFlightPerConn:
-// commands that a drain rejected have none.
-func (c *client) returnTokens(commands int) {
-	for range min(commands, maxInFlightPerConn) {
-		select {
-		case c.inFlightTokens <- struct{}{}:
-		default:
-			return
-		}
-	}
-}
-
 // abortRequests makes all requests in flight complete as failed.
 func (c *client) abortRequests() {
 	for _, request := range c.openRequests() {
@@ -118,6 +78,9 @@
 		return false
 	}
 	c.conn.countReadAhead()
+	if outcome == readMalformed && !c.pauseBeforeClose() {
+		return false
+	}
 	if outcome != readComplete {
 		c.answerUnreadable(c.nextAnswer(), outcome, err)
 		return false
@@ -127,6 +90,12 @@
 		c.discard(command)
 		return false
 	}
+	if command.isRequest() && c.conn.rejectIfLate() {
+		c.discard(command)
+		c.reply(rejectionLine(0))
+		runtime.Gosched() // no pause: what waits behind the request must be answered before SIGKILL
+		return true
+	}
 	admitted, reply := c.admitCommand(command, peer.ReceivedAgo)
 	if reply == "" {
 		c.listener.workers.run(admitted)
@@ -134,18 +103,12 @@
 	}
 	c.discard(command)
 	c.reply(reply)
-	if reply != replyPong && !c.listener.drain.active.Load() { // a drain has no time to lose
-		time.Sleep(rejectedCommandPause)
-	}
-	return true
+	return c.pauseAfterReply()
 }
 
 // admitCommand parses a command and admits the request under the same settings. If the command is
 // not a valid request, it returns the line that answers it.
 func (c *client) admitCommand(command *pendingCommand, age time.Duration) (admitted job, reply string) {
-	if !command.mayBePing() && c.conn.rejectIfLate() {
-		return job{}, rejectionLine(0)
-	}
 	c.listener.settingsMu.RLock()
 	defer c.listener.settingsMu.RUnlock()
 	spec, message, reply := c.listener.parse(command, age)
@@ -187,7 +150,7 @@
 }
 
 // answer writes the answer of a command after all earlier answers. During a drain, the last answer
-// closes the connection.
+// closes the connection. The caller returns the command's token.
 func (c *client) answer(pipelineID uint, write func() error) {
 	c.pipeline.StartResponse(pipelineID)
 	c.writeAnswers(pipelineID, 1, write)
@@ -209,7 +172,6 @@
 	c.conn.endCommands(commands)
 	c.nextWritten.Store(uint64(pipelineID) + 1)
 	c.pipeline.EndResponse(pipelineID)
-	c.returnTokens(commands)
 }
 
 // answerUnreadable closes the connection after a command that could not be read. It first waits for
--- a/internal/gateway/listener/command.go
+++ b/internal/gateway/listener/command.go
@@ -23,6 +23,11 @@
 // its sending half right after it, and even late in a drain.
 func (p *pendingCommand) mayBePing() bool { return len(p.Words) <= 1 }
 
+// isRequest reports whether the command has the form of a request.
+func (p *pendingCommand) isRequest() bool {
+	return len(p.Words) == maxCommandWords && (p.Words[0] == verbQuery || p.Words[0] == verbSubmit)
+}
+
 // discard releases the value and the memory of a command that is not executed.
 func (c *client) discard(command *pendingCommand) {
 	command.Body.Free()
--- a/internal/gateway/listener/execute.go
+++ b/internal/gateway/listener/execute.go
@@ -47,36 +47,41 @@
 // run executes the request, writes its answer and releases its resources.
 func (j job) run() {
 	l := j.client.listener
-	write := j.execute()
+	attempts, write := j.execute()
 	j.message.Body.Free()
 	l.requestIDs.remove(j.message.ID)
 	j.client.complete(j.request)
 	j.client.answer(j.pipelineID, write)
 	l.memory.release(j.memory)
+	if attempts == 0 {
+		j.client.returnTokenWithoutAttempt()
+	} else {
+		j.client.returnTokens(1)
+	}
 }
 
-// execute makes the attempts that the dispatcher decides on, and returns the function that writes
-// the answer.
-func (j job) execute() (write func() error) {
+// execute makes the attempts that the dispatcher decides on. It returns their number and the function
+// that writes the answer.
+func (j job) execute() (attempts int, write func() error) {
 	conn := j.client.conn
-	for {
+	for ; ; attempts++ {
 		switch decision := j.request.Next(); decision.Action {
 		case dispatch.Forward:
 			decision.BeginSend = j.sendIfConnected(decision.BeginSend)
 			result, value := j.client.listener.upstream.Attempt(decision, j.message)
 			j.request.ReportResult(result)
 			if value != nil {
-				return func() error {
+				return attempts + 1, func() error {
 					defer value.Free()
 					return conn.WriteValue(value)
 				}
 			}
 		case dispatch.Reject:
-			return func() error { return conn.WriteLine(rejectionLine(decision.RetryAfter)) }
+			return attempts, func() error { return conn.WriteLine(rejectionLine(decision.RetryAfter)) }
 		case dispatch.Terminate:
-			return func() error { return conn.WriteLine(replyFailed) }
+			return attempts, func() error { return conn.WriteLine(replyFailed) }
 		case dispatch.Disconnected:
-			return func() error { return net.ErrClosed }
+			return attempts, func() error { return net.ErrClosed }
 		}
 	}
 }
--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -36,6 +36,8 @@
 	connections *connectionTable
 	drain       *drainState
 	pauses      *pauseDetector
+	pacer       pacer // of commands
+	acceptPacer pacer
 
 	settingsMu sync.RWMutex // read-locked from parsing a request to admitting it; locked to change settings
 	parser     atomic.Pointer[requestParser]
@@ -94,17 +96,32 @@
 			l.handleAcceptError(&backoff, err)
 			continue
 		}
-		if !l.connections.acquireSlot(l.drain.finished) {
-			resp.NewConn(conn).Reset()
+		if !l.serveConn(resp.NewConn(conn)) {
 			return nil
 		}
-		l.connections.evictAboveIdleLimit()
-		c := newClient(l, resp.NewConn(conn))
-		l.connections.add(c.conn)
-		go c.serve()
 	}
 }
 
+// serveConn starts serving an accepted connection, once there is a slot for it. It returns false if Drain
+// returns first.
+func (l *Listener) serveConn(conn *resp.Conn) bool {
+	if conn.IsAtEnd() {
+		_ = conn.Close()
+		l.pauseAfterAccept(endedAcceptCost)
+		return true
+	}
+	if !l.connections.acquireSlot(l.drain.finished) {
+		conn.Reset()
+		return false
+	}
+	l.connections.evictAboveIdleLimit()
+	c := newClient(l, conn)
+	l.connections.add(c.conn)
+	go c.serve()
+	l.pauseAfterAccept(acceptCost)
+	return true
+}
+
 // accept returns the next connection. During a drain it closes the socket only once the backlog is
 // empty: closing the socket resets the connections in the backlog, and they may hold requests.
 func (l *Listener) accept(socket net.Listener) (net.Conn, error) {
--- a/internal/gateway/listener/replybatch.go
+++ b/internal/gateway/listener/replybatch.go
@@ -38,6 +38,7 @@
 	c.pipeline.StartResponse(pipelineID)
 	replies := batch.take()
 	c.writeAnswers(pipelineID, replies.count(), func() error { return c.conn.WriteLines(replies.lines()) })
+	c.returnTokens(replies.count())
 }
 
 // newReplyBatch returns a batch of one reply.
--- a/internal/gateway/resp/peerstate.go
+++ b/internal/gateway/resp/peerstate.go
@@ -120,6 +120,18 @@
 	return idle
 }
 
+// IsAtEnd reports whether the peer has closed its sending half or reset the connection, and all bytes that
+// arrived before have been read. It does not block. It returns false on a connection without a
+// descriptor. Only the reading goroutine may call it.
+func (c *Conn) IsAtEnd() bool {
+	isAtEnd := false
+	c.withDescriptor(func(fd int) {
+		n, err := peek(fd, make([]byte, 1))
+		isAtEnd = n <= 0 && !errors.Is(err, unix.EAGAIN)
+	})
+	return isAtEnd && c.IsDrained()
+}
+
 // isReadable reports whether a read would return immediately, with a byte, the end of input or an
 // error. It stores io.EOF or the error in peekError.
 func (c *Conn) isReadable(fd uintptr) bool {
