An ID that may have run does not run again after its request has ended

Callers: a request that may run once ran a second time when its ID came again after its client had left and the attempt was over.

Cause: openRequestIDs held the IDs of requests in flight alone, and forgot each with the end of its request.

What may repeat is asked of policy (repeat_rules.go).

--- a/internal/gateway/listener/execute.go
+++ b/internal/gateway/listener/execute.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"harrierhoist/internal/gateway/dispatch"
+	"harrierhoist/internal/gateway/resp"
 	"harrierhoist/internal/gateway/upstream"
 	"harrierhoist/policy"
 )
@@ -47,45 +48,63 @@
 // run executes the request, writes its answer and releases its resources.
 func (j job) run() {
 	l := j.client.listener
-	attempts, write := j.execute()
+	result := j.execute()
 	j.message.Body.Free()
-	l.requestIDs.remove(j.message.ID)
+	l.requestIDs.end(j.message.ID, result.mayHaveRun)
 	j.client.complete(j.request)
-	j.client.answer(j.pipelineID, write)
+	j.client.answer(j.pipelineID, result.write)
 	l.memory.release(j.memory)
-	if attempts == 0 {
+	if result.attempts == 0 {
 		j.client.returnTokenWithoutAttempt()
 	} else {
 		j.client.returnTokens(1)
 	}
 }
 
-// execute makes the attempts that the dispatcher decides on. It returns their number and the function
-// that writes the answer.
-func (j job) execute() (attempts int, write func() error) {
+// execution is the result of the attempts at a request.
+type execution struct {
+	attempts   int
+	mayHaveRun bool         // whether the request may have run in one of them
+	write      func() error // writes the answer
+}
+
+// execute makes the attempts that the dispatcher decides on.
+func (j job) execute() (result execution) {
 	conn := j.client.conn
-	for ; ; attempts++ {
+	for {
 		switch decision := j.request.Next(); decision.Action {
 		case dispatch.Forward:
-			decision.BeginSend = j.sendIfConnected(decision.BeginSend)
-			result, value := j.client.listener.upstream.Attempt(decision, j.message)
-			j.request.ReportResult(result)
+			value := j.attempt(decision, &result)
 			if value != nil {
-				return attempts + 1, func() error {
+				result.write = func() error {
 					defer value.Free()
 					return conn.WriteValue(value)
 				}
+				return result
 			}
 		case dispatch.Reject:
-			return attempts, func() error { return conn.WriteLine(rejectionLine(decision.RetryAfter)) }
+			result.write = func() error { return conn.WriteLine(rejectionLine(decision.RetryAfter)) }
+			return result
 		case dispatch.Terminate:
-			return attempts, func() error { return conn.WriteLine(replyFailed) }
+			result.write = func() error { return conn.WriteLine(replyFailed) }
+			return result
 		case dispatch.Disconnected:
-			return attempts, func() error { return net.ErrClosed }
+			result.write = func() error { return net.ErrClosed }
+			return result
 		}
 	}
 }
 
+// attempt makes one attempt and reports its result. It returns the value of an answer, or nil.
+func (j job) attempt(decision dispatch.Decision, result *execution) *resp.Bulk {
+	decision.BeginSend = j.sendIfConnected(decision.BeginSend)
+	attempted, value := j.client.listener.upstream.Attempt(decision, j.message)
+	result.attempts++
+	result.mayHaveRun = result.mayHaveRun || attempted.Outcome.MayHaveRun()
+	j.request.ReportResult(attempted)
+	return value
+}
+
 // sendIfConnected returns a function that begins an attempt if the client is known to be connected.
 // After a pause of the process, the timers of the decision module may run before the reader notices
 // a disconnect. If the presence of the client is unknown, the decision module waits for it.
--- a/internal/gateway/listener/fixture_test.go
+++ b/internal/gateway/listener/fixture_test.go
@@ -128,10 +128,10 @@
 }
 
 // openIDs returns the IDs of the requests in flight.
-func (f *fixture) openIDs() map[string]struct{} {
+func (f *fixture) openIDs() map[string]bool {
 	f.requestIDs.mu.Lock()
 	defer f.requestIDs.mu.Unlock()
-	return maps.Clone(f.requestIDs.ids)
+	return maps.Clone(f.requestIDs.open)
 }
 
 // awaitIdle waits until no connection is open and no request is in flight.
--- a/internal/gateway/listener/fuzz_test.go
+++ b/internal/gateway/listener/fuzz_test.go
@@ -79,7 +79,7 @@
 	defer command.Body.Free()
 	l := New(fuzzSettings, nil, nil, 1, 0, nil)
 	spec, message, reply := l.parse(&pendingCommand{Command: command}, 0)
-	openIDs := l.requestIDs.ids
+	openIDs := l.requestIDs.open
 	if reply != "" {
 		if message != nil || len(openIDs) > 0 || strings.ContainsAny(reply, "\r\n") {
 			t.Fatalf("rejected with %q, message %+v and %d IDs open", reply, message, len(openIDs))
--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -3,7 +3,7 @@
 // gateway's wiring calls Serve and Sweep while the gateway runs, Reconfigure on a reload, and Drain
 // on SIGTERM.
 //
-// Lock order: Listener.settingsMu is taken before the dispatcher's lock, openRequestIDs.mu and
+// Lock order: Listener.settingsMu is taken before the dispatcher's lock, requestIDs.mu and
 // client.mu; the dispatcher's lock and connectionTable.mu are taken before connection.mu. No other
 // locks are nested.
 package listener
@@ -32,7 +32,7 @@
 	ready       atomic.Bool
 	workers     *workerPool
 	memory      *memoryLimiter
-	requestIDs  *openRequestIDs
+	requestIDs  *requestIDs
 	connections *connectionTable
 	drain       *drainState
 	pauses      *pauseDetector
@@ -55,12 +55,12 @@
 		log:         log,
 		workers:     newWorkerPool(),
 		memory:      newMemoryLimiter(maxMemory),
-		requestIDs:  newOpenRequestIDs(),
+		requestIDs:  newRequestIDs(maxMemory),
 		connections: newConnectionTable(maxConnections),
 		drain:       newDrainState(),
 		pauses:      newPauseDetector(sweepInterval),
 	}
-	l.parser.Store(newRequestParser(settings))
+	l.applySettings(settings)
 	return l
 }
 
@@ -76,12 +76,19 @@
 	defer l.settingsMu.Unlock()
 	settings, err := l.dispatcher.Reconfigure(settings)
 	if err == nil {
-		l.parser.Store(newRequestParser(&settings))
+		l.applySettings(&settings)
 		l.drain.shortenKillDelay(l.killDelay())
 	}
 	return settings, err
 }
 
+// applySettings makes requests be parsed under settings, and IDs be kept as long as these ask. The
+// dispatcher has the settings already.
+func (l *Listener) applySettings(settings *policy.Settings) {
+	l.requestIDs.keepFor(settings.RepeatSpan())
+	l.parser.Store(newRequestParser(settings))
+}
+
 // Serve accepts connections until the caller or Drain closes socket, or until Drain returns while
 // an accepted connection waits for a slot. It returns nil in each case.
 func (l *Listener) Serve(socket net.Listener) error {
--- a/internal/gateway/listener/parse.go
+++ b/internal/gateway/listener/parse.go
@@ -45,10 +45,11 @@
 // requestParser parses requests under fixed settings. It is immutable; new settings get a new
 // parser.
 type requestParser struct {
-	classes  map[string]class
-	plans    map[string]int // plan numbers by name
-	gateways int
-	maxUnits float64 // maximum units of a request; 0 means no limit
+	classes        map[string]class
+	forbidsRepeats []bool         // by class number, see policy.TrafficClass.ForbidsRepeats
+	plans          map[string]int // plan numbers by name
+	gateways       int
+	maxUnits       float64 // maximum units of a request; 0 means no limit
 }
 
 // class is a traffic class with its number.
@@ -64,6 +65,7 @@
 		classes: map[string]class{}, plans: map[string]int{}, gateways: settings.Gateways, maxUnits: settings.MaxUnits,
 	}
 	for i, trafficClass := range settings.Classes {
+		parser.forbidsRepeats = append(parser.forbidsRepeats, trafficClass.ForbidsRepeats())
 		if !trafficClass.Retired {
 			parser.classes[trafficClass.Name] = class{i, trafficClass}
 		}
@@ -85,7 +87,7 @@
 }
 
 // parse parses a command; age is the time since its last bytes arrived. It returns a request, whose
-// ID it has added to the open request IDs, or the line that answers the command.
+// ID it has opened, or the line that answers the command.
 func (l *Listener) parse(command *pendingCommand, age time.Duration) (dispatch.RequestSpec, *upstream.Command, string) {
 	var spec dispatch.RequestSpec
 	if command.BodyDiscarded {
@@ -117,12 +119,30 @@
 	if spec.Timeout <= 0 {
 		return spec, nil, replyDeadlinePassed
 	}
-	if message.ID == "" || !l.requestIDs.add(message.ID) {
-		return spec, nil, replyInvalidID
+	if reply := l.beginID(message.ID, spec.Class); reply != "" {
+		return spec, nil, reply
 	}
 	return spec, message, ""
 }
 
+// beginID opens the ID of a request of the class. It returns the line that answers the request if it
+// cannot begin under the ID.
+func (l *Listener) beginID(id string, class int) (reply string) {
+	if id == "" {
+		return replyInvalidID
+	}
+	switch l.requestIDs.begin(time.Now(), id, l.parser.Load().forbidsRepeats[class]) {
+	case idIsNew:
+		return ""
+	case idHistoryIsFull:
+		return rejectionLine(0)
+	case idIsUsed:
+		return replyInvalidID
+	default:
+		return replyInvalidID
+	}
+}
+
 func (l *Listener) pingReply() string {
 	if l.ready.Load() {
 		return replyPong
--- a/internal/gateway/listener/requestids.go
+++ b/internal/gateway/listener/requestids.go
@@ -1,28 +1,70 @@
 package listener
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// openRequestIDs holds the IDs of the requests in flight, which are unique. It is safe for
-// concurrent use.
-type openRequestIDs struct {
-	mu  sync.Mutex // protects ids
-	ids map[string]struct{}
+// requestIDs holds the IDs of the requests in flight, which are unique, and of completed requests that
+// must not run again. It is safe for concurrent use.
+type requestIDs struct {
+	mu        sync.Mutex      // protects the other fields
+	open      map[string]bool // IDs of requests in flight, and whether a repeat may be forbidden
+	reserved  int             // number of open IDs for which it may be
+	completed idHistory
 }
 
-func newOpenRequestIDs() *openRequestIDs { return &openRequestIDs{ids: map[string]struct{}{}} }
+// idStatus is whether a request may begin under its ID.
+type idStatus uint8
 
-// add adds the ID of a request. It returns false if another request with that ID is in flight.
-func (o *openRequestIDs) add(id string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	_, isOpen := o.ids[id]
-	o.ids[id] = struct{}{}
-	return !isOpen
+const (
+	idIsNew         idStatus = iota // the request may begin, and its ID is open
+	idIsUsed                        // a request with this ID is in flight or must not run again
+	idHistoryIsFull                 // the ID could not be kept as long as it must be
+)
+
+func newRequestIDs(maxMemory int) *requestIDs {
+	return &requestIDs{open: map[string]bool{}, completed: newIDHistory(maxMemory)}
+}
+
+// keepFor keeps IDs for at least a time after the end of their requests. A shorter time than before has
+// no effect.
+func (r *requestIDs) keepFor(span time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.completed.minAge = max(r.completed.minAge, span)
+}
+
+// begin opens an ID. forbidsRepeats says whether the request must not run again once it may have run:
+// end must then find space for its ID.
+func (r *requestIDs) begin(now time.Time, id string, forbidsRepeats bool) idStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, isOpen := r.open[id]; isOpen || r.completed.contains(id) {
+		return idIsUsed
+	}
+	if forbidsRepeats {
+		if !r.completed.hasSpace(now, r.reserved+1) {
+			return idHistoryIsFull
+		}
+		r.reserved++
+	}
+	r.open[id] = forbidsRepeats
+	return idIsNew
 }
 
-// remove removes the ID of a completed request.
-func (o *openRequestIDs) remove(id string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.ids, id)
+// end closes the ID of a completed request, and keeps it if the request may have run and must not run
+// again.
+func (r *requestIDs) end(id string, mayHaveRun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	forbidsRepeats := r.open[id]
+	delete(r.open, id)
+	if !forbidsRepeats {
+		return
+	}
+	r.reserved--
+	if mayHaveRun {
+		r.completed.add(id)
+	}
 }
--- a/policy/repeat_rules.go
+++ b/policy/repeat_rules.go
@@ -122,3 +122,20 @@
 	isHarmless := len(r.attempts) == 0 && r.class.Effect == Idempotent
 	return isPreferred && isHarmless && s.isWarm()
 }
+
+// MayHaveRun reports whether a request may have run in an attempt with this outcome.
+func (o Outcome) MayHaveRun() bool { return o.endState() == attemptMayHaveRun }
+
+// ForbidsRepeats reports whether a request of the class must not run again under the same ID once it may
+// have run. A keyed request is included: a repeat after its dedup window or at another group of
+// servers would take effect again.
+func (c *TrafficClass) ForbidsRepeats() bool { return c.Effect != Idempotent }
+
+// RepeatSpan returns how long after the end of a request its client may still send it again: the longest
+// time that a client of any class waits over all its tries, and no less than any dedup window.
+func (s *Settings) RepeatSpan() (span time.Duration) {
+	for i := range s.Classes {
+		span = max(span, s.Classes[i].Timeout, s.Classes[i].DedupWindow)
+	}
+	return span
+}
