A flood of new customers takes a bounded part of the memory

Operators saw processes killed for memory some 30 s into a run in which a client sent small requests under ever new names.

Cause: the module keeps each customer for a minute after its last request, however many there are. A heap profile 20 s into such a flood: 10.5 of 12.5 MB in admission.customerOf.

Change: the module keeps as many customers as fit into 1/16 of the memory limit. If none can go, the new customer's request is rejected.

--- a/internal/gateway/dispatch/dispatcher.go
+++ b/internal/gateway/dispatch/dispatcher.go
@@ -33,6 +33,8 @@
 	// decision module gets only as many servers as the gateway's attempts can keep connections open
 	// to. If IdleTimeout is 0, it gets all servers.
 	IdleTimeout time.Duration
+	// MaxCustomers is the number of customers whose state the decision module keeps; 0: no limit.
+	MaxCustomers int
 	// Recorder records statistics of each zone, with the dispatcher's lock held; nil: none are
 	// recorded.
 	Recorder *zonestats.Recorder
@@ -82,7 +84,11 @@
 	d.applySettings(&settings)
 	var err error
 	d.module, err = policy.New(settings, seed, host{dispatcher: d})
-	return d, err
+	if err != nil {
+		return nil, err
+	}
+	d.module.SetMaxCustomers(dependencies.MaxCustomers)
+	return d, nil
 }
 
 // Reconfigure applies new settings to the running module. It returns the settings in force, in
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,13 @@
 const (
 	heapDivisor          = 2 // for the soft memory limit, near which the runtime collects garbage more often
 	requestMemoryDivisor = 4 // for the memory that requests and replies in flight may hold
+	// customerMemoryDivisor is for the state of customers; hundreds of gateways may serve many thousands.
+	customerMemoryDivisor = 16
+)
+
+const (
+	bytesPerCustomer = 384     // memory of a customer's state, with its place in tables
+	minCustomers     = 1 << 10 // least bound on customers
 )
 
 // maxReadyWait limits the wait for discovery's first endpoint list, even if the connect timeout is
--- a/internal/gateway/instance.go
+++ b/internal/gateway/instance.go
@@ -53,7 +53,8 @@
 // dependencies returns the functions through which the dispatcher uses the network.
 func (i *instance) dependencies() dispatch.Dependencies {
 	return dispatch.Dependencies{
-		IdleTimeout: i.upstreams.IdleTimeout(),
+		IdleTimeout:  i.upstreams.IdleTimeout(),
+		MaxCustomers: maxCustomers(i.configuration),
 		CheckHealth: func(server dispatch.Server, done func(dispatch.Result)) {
 			go i.upstreams.CheckHealth(server, done)
 		},
@@ -61,6 +62,14 @@
 	}
 }
 
+// maxCustomers returns how many customers' state fits into its part of the memory; 0: no limit.
+func maxCustomers(configuration *config.Gateway) int {
+	if configuration.MemoryMB <= 0 {
+		return 0
+	}
+	return max(configuration.MemoryMB*megabyte/customerMemoryDivisor/bytesPerCustomer, minCustomers)
+}
+
 // count calls the counter. Without one, the call fails with nothing added: the decision module makes
 // no calls then, but counting rules do.
 func (i *instance) count(name uint64, units float64, ttl time.Duration, reply func(float64, policy.Outcome)) {
--- a/internal/gateway/instance_test.go
+++ b/internal/gateway/instance_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"harrierhoist/internal/gateway/config"
 	"harrierhoist/internal/gateway/upstream"
 	"harrierhoist/policy"
 )
@@ -13,7 +14,7 @@
 // the settings have none. Such a call fails, with nothing added, after Count has returned.
 func TestCount_withoutACounterFails(t *testing.T) {
 	t.Parallel()
-	gateway := &instance{upstreams: upstream.New(time.Second, time.Second, nil, 1)}
+	gateway := &instance{configuration: &config.Gateway{}, upstreams: upstream.New(time.Second, time.Second, nil, 1)}
 	count := gateway.dependencies().Count
 	outcomes := make(chan policy.Outcome, 1)
 	var hasReturned atomic.Bool
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// customerOf returns the state of a request's customer and creates it if there is none. All
+// customerOf returns the state of a request's customer and creates it if there is none. It returns nil
+// if there is no space for another customer. All
 // gateways compute the same windows from the shared clock. The windows of different customers
 // start at different times, which spreads the calls to the counter. The share of the ceiling is
 // empty at the first endpoint list and refills from then on, because an earlier process of this
@@ -15,6 +16,9 @@
 	if known := a.customers[r.Customer]; known != nil {
 		return known
 	}
+	if !a.makeSpace() {
+		return nil
+	}
 	settings := &a.env.settings
 	plan := &settings.Plans[r.Plan]
 	customer := &customerState{
@@ -28,26 +32,6 @@
 	return customer
 }
 
-// evictIdle removes customers that have been idle for maxCounterTTL, after which no count and no
-// pending charge of theirs is valid. Each call checks evictionChecksPerRequest customers. A
-// customer that returns after its eviction starts with a full bucket.
-// This prevents memory growth from customers that send a single request.
-func (a *admission) evictIdle() {
-	for range min(len(a.customerList), evictionChecksPerRequest) {
-		a.nextEviction %= len(a.customerList)
-		customer := a.customerList[a.nextEviction]
-		if customer.inFlight > 0 || a.env.now < customer.refilledAt+maxCounterTTL {
-			a.nextEviction++
-			continue
-		}
-		delete(a.customers, customer.id)
-		last := len(a.customerList) - 1
-		a.customerList[a.nextEviction] = a.customerList[last]
-		a.customerList[last] = nil
-		a.customerList = a.customerList[:last]
-	}
-}
-
 // objectiveOf returns the time at which a request's latency objective ends. A request that arrives
 // with less time than the first tries of its class and plan has already used part of its objective:
 // a repeat for earlier tries, a first try while this process was paused. If the pause is too short
--- a/policy/customer_state.go
+++ b/policy/customer_state.go
@@ -11,6 +11,7 @@
 
 	customers    map[uint64]*customerState
 	customerList []*customerState // values of customers, for iteration
+	maxCustomers int              // customers whose state is kept; 0: no limit
 	nextEviction int              // index in customerList of the next customer to check for eviction
 
 	calls            map[uint64][]counterCall // unanswered calls by counter name, oldest first
--- a/policy/events.go
+++ b/policy/events.go
@@ -33,7 +33,12 @@
 // client disconnects first.
 func (g *Gateway) HandleRequest(now time.Duration, r Request) {
 	g.advanceClock(now)
-	request := &requestState{Request: r, class: &g.classes[r.Class], customer: g.admission.customerOf(r)}
+	customer := g.admission.customerOf(r)
+	if customer == nil {
+		g.host.Reject(r.ID, 0)
+		return
+	}
+	request := &requestState{Request: r, class: &g.classes[r.Class], customer: customer}
 	request.objectiveAt = g.admission.objectiveOf(request, now)
 	g.requests[r.ID] = request
 	g.setTimer(timerDeadline, r.ID, r.Deadline-now-arrivalTicks*g.settings.ClockTick)
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -68,6 +68,10 @@
 	return g, nil
 }
 
+// SetMaxCustomers bounds the customers whose state is kept. 0 means no bound, which is the initial value.
+// Requests of a new customer are rejected if none can be evicted for it.
+func (g *Gateway) SetMaxCustomers(customers int) { g.admission.maxCustomers = customers }
+
 // SetSharingGateways sets how many gateways send attempts to each listed server. It is fewer than
 // all gateways if each uses a subset of the servers. The initial value is Settings.Gateways.
 func (g *Gateway) SetSharingGateways(gateways float64) { g.balancer.sharingGateways = max(gateways, 1) }
--- a/policy/tuning.go
+++ b/policy/tuning.go
@@ -16,6 +16,7 @@
 	countSpanDivisor         = 2           // divisor of the window length: shortest span of a rate estimate
 	maxChargeAge             = time.Minute // age at which a pending charge is dropped
 	evictionChecksPerRequest = 2           // customers checked for eviction on each request
+	evictionSamples          = 16          // customers compared when space for another is needed
 )
 
 // Admission by a customer's token bucket and by its limit on attempts in flight.
