Slow crowds take neither the memory nor the connections of others

Operators saw processes killed for memory with hundreds of clients that wrote slowly; usual clients lost their connections and answers.

Cause: before a value is announced nothing is reserved, and a line of a head could grow to 68 kB on each connection. Commands that stopped half way held each slot for 1 s, and idle connections of usual clients were evicted in their place. Values in pieces reserved all memory for requests; each release woke all that waited, each of which asked the system for its client; and at a soft limit of 16 MB the collector took half of the processor.

Change: a line must fit into the reader's buffer of 4 KiB, and a reply has 16 attributes at most (a line that the end of a connection cuts off is no longer taken for whole); a header of discovery 64 KiB. When slots are short, a command of which nothing came for 0.25 s is given up before any idle connection; connections that hold commands but no request count as a flood, in which answered ones keep their slots. Requests whose values have not arrived completely share half of the memory. The soft limit has a margin of a quarter, 4 MB at most.

--- a/cmd/harrierhoist/usualclients_test.go
+++ b/cmd/harrierhoist/usualclients_test.go
@@ -180,10 +180,16 @@
 		s.requests, s.served, s.refused, s.failed, s.lost, s.slowest.Round(time.Millisecond))
 }
 
+// smallGateways bounds how many small gateways run side by side.
+var smallGateways = make(chan struct{}, 3)
+
 // startSmallGateway starts a gateway with the least memory, descriptors and processors that the pages
 // name, in front of a server that answers after some milliseconds.
 func startSmallGateway(t *testing.T) *gatewayUnderTest {
 	t.Helper()
+	t.Parallel()
+	smallGateways <- struct{}{}
+	t.Cleanup(func() { <-smallGateways })
 	gateway := newGateway(t, func([]string) string {
 		time.Sleep(5 * time.Millisecond)
 		return fakes.FormatValue("hello", 1)
--- a/internal/gateway/discovery/connection.go
+++ b/internal/gateway/discovery/connection.go
@@ -43,7 +43,9 @@
 		}
 		return dial(ctx, network, addr)
 	}
-	c.Transport = &http.Transport{MaxConnsPerHost: 1, DialContext: dialOnce}
+	c.Transport = &http.Transport{
+		MaxConnsPerHost: 1, DialContext: dialOnce, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 	c.CheckRedirect = func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse // only the agent serves lists, so a redirect counts as a rejection
 	}
--- a/internal/gateway/discovery/timing.go
+++ b/internal/gateway/discovery/timing.go
@@ -60,8 +60,11 @@
 	backoffJitter     = 0.5 // maximum random deviation of a pause, as a fraction of it
 )
 
-// maxListBytes is the maximum size of an answer in bytes.
-const maxListBytes = 4 << 20
+// Maximum sizes of an answer and of its header in bytes.
+const (
+	maxListBytes   = 4 << 20
+	maxHeaderBytes = 64 << 10
+)
 
 // fullListTiming contains the times of calls for the full list in one mode.
 type fullListTiming struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,11 +23,15 @@
 // Divisors of the configured memory limit.
 const (
 	heapDivisor          = 2 // for the soft memory limit, near which the runtime collects garbage more often
+	heapMarginDivisor    = 4 // of the soft memory limit, for the margin over it
 	requestMemoryDivisor = 4 // for the memory that requests and replies in flight may hold
 	// customerMemoryDivisor is for the state of customers; hundreds of gateways may serve many thousands.
 	customerMemoryDivisor = 16
 )
 
+// maxHeapMargin is the largest margin of the soft memory limit in bytes.
+const maxHeapMargin = 4 * megabyte
+
 const (
 	bytesPerCustomer = 384     // memory of a customer's state, with its place in tables
 	minCustomers     = 1 << 10 // least bound on customers
@@ -95,10 +99,17 @@
 		runtime.GOMAXPROCS(max(int(configuration.Cores), 1))
 	}
 	if configuration.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(configuration.MemoryMB) * megabyte / heapDivisor)
+		debug.SetMemoryLimit(softMemoryLimit(int64(configuration.MemoryMB) * megabyte))
 	}
 }
 
+// softMemoryLimit returns the memory in bytes near which the runtime collects garbage more often: half of
+// the limit, and a margin where that is little. The pages of the program's file come on top.
+func softMemoryLimit(limit int64) int64 {
+	soft := limit / heapDivisor
+	return soft + min(soft/heapMarginDivisor, maxHeapMargin)
+}
+
 // serve serves clients until the process is asked to terminate and the drain has ended.
 func (i *instance) serve(coordinationPath string, signals *signals) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/listener/command.go
+++ b/internal/gateway/listener/command.go
@@ -43,14 +43,16 @@
 	deadline := time.Now().Add(commandTimeout)
 	_ = c.conn.SetReadDeadline(deadline) // fails only on a closed connection, where reading fails as well
 	reserve := func(valueSize int) bool {
-		return !c.conn.willReject() && c.reserveMemory(command, maxRequestOverhead+valueSize, deadline)
+		return !c.conn.willReject() && c.reserveMemory(command, valueSize, deadline)
 	}
+	c.conn.setReading(true)
 	var err error
 	command.Command, err = c.conn.ReadCommand(maxCommandWords, reserve)
 	if err == nil && command.memory == 0 && len(command.Words) == maxCommandWords { // a request without a value
 		command.BodyDiscarded = command.BodyDiscarded || !reserve(0)
 	}
-	_ = c.conn.SetReadDeadline(time.Time{})
+	c.conn.setReading(false)
+	_ = c.conn.SetReadDeadline(time.Time{}) // also ends an abort of the read
 	if err != nil {
 		c.listener.memory.release(command.memory)
 	}
@@ -83,15 +85,16 @@
 	}
 }
 
-// reserveMemory reserves size bytes for a command, and reports whether they are reserved. The time
-// spent waiting is added to the deadline for reading the command.
-func (c *client) reserveMemory(command *pendingCommand, size int, deadline time.Time) bool {
-	if c.listener.memory.acquire(size, c.conn.isPipelined()) == nil {
+// reserveMemory reserves memory for a command with a value of the size in bytes, and reports whether it is
+// reserved. The time spent waiting is added to the deadline for reading the command.
+func (c *client) reserveMemory(command *pendingCommand, valueSize int, deadline time.Time) bool {
+	size := maxRequestOverhead + valueSize
+	if c.acquireMemory(valueSize) == nil {
 		command.memory = size
 		return true
 	}
 	began := time.Now()
-	if c.waitForMemory(size) {
+	if c.waitForMemory(valueSize) {
 		command.memory = size
 	}
 	command.waitedForMemory = time.Since(began)
@@ -99,21 +102,35 @@
 	return command.memory > 0
 }
 
-// waitForMemory waits until size bytes are reserved. It returns false after memoryTimeout, if the
+// acquireMemory reserves memory for a command with a value of the size in bytes and returns nil. If the
+// memory is not available, it returns a channel that is closed when the caller may try again. Pipelined
+// commands, and those whose value has not arrived completely, share a part of the memory: floods and
+// slow clients must not take all of it.
+func (c *client) acquireMemory(valueSize int) (wait <-chan struct{}) {
+	isShared := c.conn.isPipelined() || valueSize > 0 && !c.conn.HasArrived(valueSize)
+	return c.listener.memory.acquire(maxRequestOverhead+valueSize, isShared)
+}
+
+// waitForMemory waits until memory is reserved, see acquireMemory. It returns false after memoryTimeout, if the
 // client disconnects or if a drain rejects the command or must answer it at once.
-func (c *client) waitForMemory(size int) bool {
-	deadline := time.Now().Add(memoryTimeout)
-	for time.Now().Before(deadline) && !c.conn.IsPeerClosed() {
-		if c.conn.willReject() || c.listener.drain.mustAnswer() {
-			return false
-		}
-		freed := c.listener.memory.acquire(size, c.conn.isPipelined())
+func (c *client) waitForMemory(valueSize int) bool {
+	timeout := time.NewTimer(memoryTimeout)
+	defer timeout.Stop()
+	poll := time.NewTicker(disconnectPollInterval)
+	defer poll.Stop()
+	for !c.conn.willReject() && !c.listener.drain.mustAnswer() {
+		freed := c.acquireMemory(valueSize)
 		if freed == nil {
 			return true
 		}
 		select {
 		case <-freed:
-		case <-time.After(disconnectPollInterval):
+		case <-poll.C:
+			if c.conn.IsPeerClosed() {
+				return false
+			}
+		case <-timeout.C:
+			return false
 		}
 	}
 	return false
--- a/internal/gateway/listener/connection.go
+++ b/internal/gateway/listener/connection.go
@@ -96,6 +96,27 @@
 	return c.drain.hasStoppedReading(c.state.lastBlocked(time.Now()))
 }
 
+// setReading records whether the reader waits for the rest of a command.
+func (c *connection) setReading(isReading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.isReading = isReading
+}
+
+// abortStalledRead aborts the reading of a command if nothing else is in flight and nothing of the command
+// has arrived for stallTimeout. It reports whether it did. The reader then closes the connection, unless
+// it has the whole command.
+func (c *connection) abortStalledRead(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isStalled := c.state.isReading && c.state.inFlight == 1 && now.Sub(c.LastRead()) >= stallTimeout
+	if !isStalled || !c.IsIdle() {
+		return false
+	}
+	_ = c.SetReadDeadline(now)
+	return true
+}
+
 // beginRequest counts a request in flight: a command that was admitted.
 func (c *connection) beginRequest() {
 	c.mu.Lock()
@@ -161,12 +182,19 @@
 // isPipelined reports whether commands are in flight besides the one that is being read.
 func (c *connection) isPipelined() bool { return c.commandsInFlight() > 1 }
 
+// holdsNoRequest reports whether commands have arrived, and none of them is a request in flight.
+func (c *connection) holdsNoRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.holdsNoRequest()
+}
+
 // currentActivity returns the activity of the connection, and the time since which it is idle if
 // the activity is an idle one.
-func (c *connection) currentActivity() (activity activity, since time.Time) {
+func (c *connection) currentActivity(now time.Time) (activity activity, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.activity(time.Now()), c.state.lastUsed
+	return c.state.activity(now), c.state.lastUsed
 }
 
 // closeIfIdle resets the connection if it is idle, and reports whether it did. A connection with
--- a/internal/gateway/listener/connections.go
+++ b/internal/gateway/listener/connections.go
@@ -26,9 +26,13 @@
 	// sweepInterval is the time between checks for connections that exceed idleTimeout or
 	// silentTimeout.
 	sweepInterval = 250 * time.Millisecond
-	// floodSlotDivisor defines a flood: new connections hold more than 1/floodSlotDivisor of the
-	// slots.
+	// floodSlotDivisor defines a flood: new connections, and those that hold commands but no request,
+	// hold more than 1/floodSlotDivisor of the slots.
 	floodSlotDivisor = 2
+	// stallTimeout is how long nothing of a command may arrive while its slot is needed.
+	stallTimeout = 250 * time.Millisecond
+	// stallCheckInterval is the minimum time between two searches for stalled commands.
+	stallCheckInterval = 10 * time.Millisecond
 )
 
 // connectionTable holds the open connections, each of which occupies a slot. One more accepted
@@ -37,8 +41,10 @@
 	slots chan struct{}  // one element for each occupied slot
 	open  sync.WaitGroup // counts the connections in the table
 
-	mu          sync.Mutex // protects connections; taken before connection.mu
-	connections map[*connection]struct{}
+	mu           sync.Mutex // protects the other fields; taken before connection.mu
+	connections  map[*connection]struct{}
+	stallChecked time.Time // time of the latest search for stalled commands
+	hasAborted   bool      // whether that search found any
 }
 
 func newConnectionTable(maxConnections int) *connectionTable {
@@ -55,7 +61,9 @@
 	default:
 	}
 	for {
-		t.evict(0)
+		if !t.abortStalledReads(time.Now()) {
+			t.evict(0)
+		}
 		select {
 		case t.slots <- struct{}{}:
 			return true
@@ -86,24 +94,43 @@
 // evictAboveIdleLimit evicts an idle connection if more slots are occupied than idleSlotFraction
 // allows.
 func (t *connectionTable) evictAboveIdleLimit() {
-	if limit := int(idleSlotFraction * float64(cap(t.slots))); len(t.slots) > limit {
+	limit := int(idleSlotFraction * float64(cap(t.slots)))
+	if len(t.slots) > limit && !t.abortStalledReads(time.Now()) {
 		t.evict(limit)
 	}
 }
 
-// evict closes one idle connection if more than limit connections are open, not counting new ones.
-// It prefers silent connections to answered ones, and then the one that has been idle longest. In a
+// abortStalledReads aborts the reading of all stalled commands. It reports whether there were any now or
+// in the search before, whose slots may not be released yet.
+func (t *connectionTable) abortStalledReads(now time.Time) (hasAborted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.stallChecked) < stallCheckInterval {
+		return t.hasAborted
+	}
+	t.stallChecked = now
+	for c := range t.connections {
+		if c.abortStalledRead(now) {
+			hasAborted = true
+		}
+	}
+	t.hasAborted = hasAborted
+	return hasAborted
+}
+
+// evict closes one idle connection if more than limit connections are open, not counting those of a
+// possible flood. It prefers silent connections to answered ones, and then the one that has been idle longest. In a
 // flood, a connection that was answered less than minIdleInFlood ago is kept: the new
 // connections become idle soon, and can be evicted then.
 func (t *connectionTable) evict(limit int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates, newCount := t.idleConnections()
-	if len(t.connections)-newCount <= limit {
+	candidates, floodCount := t.idleConnections()
+	if len(t.connections)-floodCount <= limit {
 		return
 	}
 	slices.SortFunc(candidates, evictionCandidate.compare)
-	isFlooded := newCount > cap(t.slots)/floodSlotDivisor
+	isFlooded := floodCount > cap(t.slots)/floodSlotDivisor
 	for _, candidate := range candidates {
 		if isFlooded && candidate.keepsSlotInFlood() {
 			return
@@ -140,20 +167,24 @@
 	}
 }
 
-// idleConnections returns the idle connections and the number of new ones. The caller must hold
-// t.mu.
-func (t *connectionTable) idleConnections() (candidates []evictionCandidate, newCount int) {
+// idleConnections returns the idle connections, and the number of those that count as a flood if they are
+// many: new ones, and those that hold commands but no request. The caller must hold t.mu.
+func (t *connectionTable) idleConnections() (candidates []evictionCandidate, floodCount int) {
+	now := time.Now()
 	for c := range t.connections {
-		activity, since := c.currentActivity()
+		activity, since := c.currentActivity(now)
 		switch activity {
 		case activitySilent, activityIdleAnswered:
 			candidates = append(candidates, evictionCandidate{c, activity, since})
 		case activityNew:
-			newCount++
+			floodCount++
 		case activityBusy:
+			if c.holdsNoRequest() {
+				floodCount++
+			}
 		}
 	}
-	return candidates, newCount
+	return candidates, floodCount
 }
 
 // Sweep closes connections that exceed idleTimeout or silentTimeout. It blocks until ctx is done.
@@ -180,8 +211,9 @@
 func (t *connectionTable) closeIdle(shouldClose func(idleTime time.Duration, activity activity) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	for c := range t.connections {
-		activity, since := c.currentActivity()
+		activity, since := c.currentActivity(now)
 		if activity.isIdle() && shouldClose(time.Since(since), activity) {
 			c.closeIfIdle()
 		}
--- a/internal/gateway/listener/connections_test.go
+++ b/internal/gateway/listener/connections_test.go
@@ -66,7 +66,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			connection := connection{state: c.state}
-			if got, _ := connection.currentActivity(); got != c.want {
+			if got, _ := connection.currentActivity(time.Now()); got != c.want {
 				t.Errorf("activity %d, want %d", got, c.want)
 			}
 		})
--- a/internal/gateway/listener/drain_fixture_test.go
+++ b/internal/gateway/listener/drain_fixture_test.go
@@ -106,7 +106,7 @@
 
 // isFullyAnswered reports whether all commands on the connection are answered.
 func (c *connection) isFullyAnswered() bool {
-	activity, _ := c.currentActivity()
+	activity, _ := c.currentActivity(time.Now())
 	return activity == activityIdleAnswered
 }
 
--- a/internal/gateway/listener/memory.go
+++ b/internal/gateway/listener/memory.go
@@ -6,9 +6,9 @@
 // words and the server's answer, as limited by package resp.
 const maxRequestOverhead = 68 << 10
 
-// pipelinedDivisor sets the share of the memory bound that pipelined requests may use:
-// 1/pipelinedDivisor.
-const pipelinedDivisor = 2
+// sharedDivisor sets the part of the memory bound that pipelined requests and those whose values arrive
+// slowly may use together: 1/sharedDivisor.
+const sharedDivisor = 2
 
 // minMemory is the minimum bound in bytes for all requests in flight: room for two of the largest
 // pipelined requests, and the same again for requests that are not pipelined.
@@ -16,8 +16,8 @@
 
 // memoryLimiter bounds the memory of requests in flight. A request reserves the maximum that it may
 // need before its value is read, so that no request waits for memory while it holds some. It
-// releases the reservation after its answer. Pipelined requests share only a part of the memory:
-// ordinary clients send one request at a time, while floods are pipelined.
+// releases the reservation after its answer. Pipelined requests and those whose values arrive slowly
+// share only a part of the memory: ordinary clients send one request at a time.
 type memoryLimiter struct {
 	limit int // in bytes; 0 means no limit
 
@@ -37,12 +37,12 @@
 
 // acquire reserves size bytes and returns nil. If they are not available, it returns a channel that
 // is closed when memory is released and the caller may try again.
-func (m *memoryLimiter) acquire(size int, isPipelined bool) (wait <-chan struct{}) {
+func (m *memoryLimiter) acquire(size int, isShared bool) (wait <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	limit := m.limit
-	if isPipelined {
-		limit /= pipelinedDivisor
+	if isShared {
+		limit /= sharedDivisor
 	}
 	if m.limit == 0 || m.used+size <= limit {
 		m.used += size
--- a/internal/gateway/listener/pacer.go
+++ b/internal/gateway/listener/pacer.go
@@ -27,6 +27,9 @@
 	minDrainReplyPause = 2 * time.Millisecond // what waits behind the command must be answered before SIGKILL
 )
 
+// maxClosePause is the longest pause before the answer to a malformed command: the connection holds a slot.
+const maxClosePause = 250 * time.Millisecond
+
 // pacer spreads the work of all connections that serves no request over time. It is safe for
 // concurrent use.
 type pacer struct {
@@ -74,7 +77,7 @@
 	if c.conn.mustFinish() {
 		return true
 	}
-	return c.conn.pause(c.listener.pacer.reserve(time.Now(), connectionLossCost))
+	return c.conn.pause(min(c.listener.pacer.reserve(time.Now(), connectionLossCost), maxClosePause))
 }
 
 // returnTokenWithoutAttempt returns the token of a request that ended without an attempt, once there is
--- a/internal/gateway/listener/state.go
+++ b/internal/gateway/listener/state.go
@@ -44,6 +44,7 @@
 	hasRejected  bool      // a drain has rejected a command
 	lastUsed     time.Time // time of the accept or of the last answer
 	halfClosedAt time.Time // set by markHalfClosed
+	isReading    bool      // the reader waits for the rest of a command
 	connectedAt  time.Time // latest time at which the client is known to have been connected
 }
 
@@ -53,6 +54,9 @@
 // isUnused reports whether no command has arrived on the connection.
 func (s *connectionState) isUnused() bool { return !s.hasAnswered && s.inFlight == 0 }
 
+// holdsNoRequest reports whether commands have arrived, and none of them is a request in flight.
+func (s *connectionState) holdsNoRequest() bool { return s.inFlight > 0 && s.requests == 0 && !s.isClosed() }
+
 // isFirstCommandInFlight reports whether the first command is in flight, and no other.
 func (s *connectionState) isFirstCommandInFlight() bool { return !s.hasAnswered && s.inFlight == 1 }
 
--- a/internal/gateway/resp/conn.go
+++ b/internal/gateway/resp/conn.go
@@ -4,8 +4,11 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // halfCloser is implemented by connections whose sending half can be closed separately.
@@ -20,6 +23,7 @@
 	peekError  error                 // error found by the latest call of isReadable: io.EOF, a system error or nil
 	peekBuffer [1]byte
 	reader     *messageReader // nil while no message is being read
+	lastRead   atomic.Int64   // time of the latest read within a message, in Unix nanoseconds
 }
 
 // NewConn returns a connection that speaks RESP2 over conn.
@@ -46,6 +50,7 @@
 		}
 		c.reader = readerPool.get()
 		c.reader.conn = c.Conn
+		c.reader.progress = &c.lastRead
 		c.reader.peeked = first
 		c.reader.R.Reset(c.reader)
 	}
@@ -67,6 +72,21 @@
 	return nil, c.peekError
 }
 
+// LastRead returns the time of the latest read within a message.
+func (c *Conn) LastRead() time.Time { return time.Unix(0, c.lastRead.Load()) }
+
+// HasArrived reports whether the next size bytes of the message that is being read have arrived. It
+// returns false on a connection without a descriptor. Only the reading goroutine may call it.
+func (c *Conn) HasArrived(size int) bool {
+	unread := 0
+	c.withDescriptor(func(fd int) {
+		if count, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err == nil {
+			unread = count
+		}
+	})
+	return c.reader != nil && c.reader.R.Buffered()+unread >= size
+}
+
 // releaseIfDrained returns the reader to its pool unless it holds bytes of the next message.
 func (c *Conn) releaseIfDrained() {
 	if c.reader != nil && c.reader.R.Buffered() == 0 && len(c.reader.peeked) == 0 {
@@ -79,6 +99,7 @@
 		return
 	}
 	c.reader.conn = nil
+	c.reader.progress = nil
 	c.reader.peeked = nil
 	c.reader.noReadAhead = false
 	readerPool.put(c.reader)
--- a/internal/gateway/resp/read.go
+++ b/internal/gateway/resp/read.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -88,10 +89,11 @@
 
 func (c *Conn) readReply() (*Reply, error) {
 	r := &Reply{}
-	line, err := c.reader.ReadLine()
-	if err != nil || line == "" {
+	text, err := c.readLine()
+	if err != nil || len(text) == 0 {
 		return r, errors.Join(err, ProtocolError("an empty line"))
 	}
+	line := string(text)
 	r.Kind = line[0]
 	r.Line = line[1:]
 	switch r.Kind {
@@ -119,6 +121,9 @@
 	if length < 1 {
 		return ProtocolError("an array with no value")
 	}
+	if length > maxAttributes+1 {
+		return ProtocolError("too many attributes")
+	}
 	size, err := c.readHeader(kindBulk)
 	if err != nil {
 		return err
@@ -156,7 +161,7 @@
 // readHeader reads a line that consists of the type byte kind and a length. It returns the length,
 // or -1 for null.
 func (c *Conn) readHeader(kind byte) (int, error) {
-	line, err := c.reader.ReadLineBytes()
+	line, err := c.readLine()
 	if err != nil {
 		return 0, err
 	}
@@ -166,6 +171,23 @@
 	return parseLength(string(line[1:]))
 }
 
+// readLine reads a line and returns it without its end. The result is valid until the next read. A line
+// must fit into the reader's buffer, so that one that arrives slowly takes no further memory.
+func (c *Conn) readLine() ([]byte, error) {
+	line, err := c.reader.R.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return nil, ProtocolError("message too long")
+	}
+	if err != nil {
+		return nil, err
+	}
+	line = line[:len(line)-1]
+	if n := len(line); n > 0 && line[n-1] == '\r' {
+		line = line[:n-1]
+	}
+	return line, nil
+}
+
 // parseLength parses a length in its shortest decimal form. -1 is the only negative length.
 func parseLength(text string) (int, error) {
 	n, err := strconv.Atoi(text)
--- a/internal/gateway/resp/resp.go
+++ b/internal/gateway/resp/resp.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Sizes in bytes.
@@ -19,6 +21,9 @@
 	maxMessageSize = maxValueSize + 4*maxWordSize
 )
 
+// maxAttributes is the maximum number of attributes of a reply.
+const maxAttributes = 16
+
 // terminator follows each line and each value.
 const terminator = "\r\n"
 
@@ -58,9 +63,10 @@
 type messageReader struct {
 	*textproto.Reader
 	conn        net.Conn
-	peeked      []byte // byte that waitReadable consumed; empty if there is none
-	remaining   int    // number of bytes that may still be read from conn for this message
-	noReadAhead bool   // whether to read single bytes, so that no byte after the message is consumed
+	peeked      []byte        // byte that waitReadable consumed; empty if there is none
+	progress    *atomic.Int64 // Conn.lastRead of the connection
+	remaining   int           // number of bytes that may still be read from conn for this message
+	noReadAhead bool          // whether to read single bytes, so that no byte after the message is consumed
 }
 
 func newMessageReader() *messageReader {
@@ -84,6 +90,7 @@
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	r.progress.Store(time.Now().UnixNano())
 	return n, err
 }
 
