A new process at an earlier one's address gets neither its connections nor its record

A new process that came up at the address of one that had gone could be taken for it: work went to the wrong place or ran twice.

Cause: connections were pooled by name and address, without the start (born_ms). Results of attempts at the process before counted for the new one, which was ejected for them. A keyed request was repeated at a restarted server, which may not know the key.

Change: the start is part of the key of a connection. A result of an attempt at an earlier process leaves the server's health as it is. A server that has restarted since the attempt does not count as dropping repeats. Attempts that dial while the list changes were cancelled before their first byte already (attempt.isStale), and health checks are not asked for by the module.

--- a/internal/gateway/upstream/connections.go
+++ b/internal/gateway/upstream/connections.go
@@ -30,12 +30,15 @@
 	minCleanupInterval = time.Second
 )
 
-// endpointKey identifies the server of a connection. It includes the name so that a new server at a
-// reused address does not get connections to the previous one.
-type endpointKey struct{ name, address string }
+// endpointKey identifies the process of a connection's server. It includes the name and the start, so that
+// a new process at a reused address does not get connections to the previous one.
+type endpointKey struct {
+	name, address string
+	startedAt     time.Duration // see policy.Endpoint
+}
 
 func endpointKeyOf(server dispatch.Server) endpointKey {
-	return endpointKey{server.Name, server.Address}
+	return endpointKey{server.Name, server.Address, server.Endpoint.StartedAt}
 }
 
 // connection is a connection to a server, with the time of its last use.
--- a/policy/repeat_rules.go
+++ b/policy/repeat_rules.go
@@ -100,8 +100,12 @@
 
 // dropsRepeats reports whether the target drops repeats of an attempt at a request of the class. The
 // attempt's server must be in the target's group now, and have been in it when the attempt started. If
-// a list has moved the server since then, it is not known which group remembers the attempt.
+// a list has moved the server since then, it is not known which group remembers the attempt. A server
+// that has restarted since then may not remember its own.
 func (c *TrafficClass) dropsRepeats(target *server, earlier *attempt) bool {
+	if target == earlier.server && earlier.isAtEarlierProcess() {
+		return false
+	}
 	switch c.Group {
 	case GroupAll:
 		return true
--- a/policy/request_state.go
+++ b/policy/request_state.go
@@ -43,6 +43,7 @@
 	server     *server
 	zone, rack int // of the server when the attempt started; a list may have moved it since
 	startedAt  time.Duration
+	process    time.Duration // Endpoint.StartedAt of the server when the attempt started
 	state      attemptState
 }
 
@@ -54,6 +55,9 @@
 	return r.Presence()
 }
 
+// isAtEarlierProcess reports whether the server has restarted since the attempt started.
+func (a attempt) isAtEarlierProcess() bool { return a.process != a.server.StartedAt }
+
 func (r *requestState) lastAttemptAt() time.Duration { return r.attempts[len(r.attempts)-1].startedAt }
 
 func (r *requestState) hasAttemptInFlight() bool {
--- a/policy/server.go
+++ b/policy/server.go
@@ -11,19 +11,21 @@
 func (s *server) startAttempt(request *requestState) {
 	s.inFlight = append(s.inFlight, request)
 	request.attempts = append(request.attempts, attempt{
-		server: s, zone: s.Zone, rack: s.Rack, startedAt: s.env.now,
+		server: s, zone: s.Zone, rack: s.Rack, startedAt: s.env.now, process: s.StartedAt,
 	})
 	s.env.host.Attempt(request.ID, s.Server, request.Deadline)
 }
 
 // handleResult records the result of an attempt at the server and passes it on to the balancer and
-// the lifecycle.
+// the lifecycle. The result of an attempt at an earlier process says nothing about the present one.
 func (s *server) handleResult(m *attemptEnded) {
 	index := slices.Index(s.inFlight, m.request)
 	if index >= 0 {
 		s.inFlight = slices.Delete(s.inFlight, index, index+1)
 	}
-	s.recordHealth(m.request, &m.result)
+	if !m.request.attempts[m.result.Attempt].isAtEarlierProcess() {
+		s.recordHealth(m.request, &m.result)
+	}
 	s.env.send(s.balancer, m)
 	s.env.send(s.lifecycle, m)
 }
