The soak has floods, slow crowds and repeated IDs; rejections look at the ID

The soak draws a crowd for each seed: of three seeds one has a flood of cheap commands, one slow clients, one neither; a fifth of the clients leave before their answers and send the request again under its ID 250 ms later. The ledger holds an attempt against the sending that it belongs to.

Beside it: a command that is rejected unread (late in a drain, or without memory for its value) got -BUSY also where a request with its ID had run; -BUSY promises that nothing did. It is answered as failed now.

--- a/cmd/harrierhoist/soak_test.go
+++ b/cmd/harrierhoist/soak_test.go
@@ -63,6 +63,7 @@
 	gateways []*soakGateway
 	isPolled bool
 	longest  time.Duration // deadline of all classes
+	crowd    soakCrowd
 }
 
 // TestSoak_keepsEveryRuleOnEachSeed runs gateways under load and trouble, then through SIGTERM to
@@ -77,8 +78,8 @@
 			s := newSoak(t, seed)
 			s.play(seed%3 == 0)
 			faults := s.ledger.faults()
-			t.Logf("%d requests, polled %v, deadline %v, %d gateways", len(s.ledger.requests), s.isPolled, s.longest,
-				len(s.gateways))
+			t.Logf("%d requests, polled %v, deadline %v, %d gateways, %s", len(s.ledger.requests), s.isPolled,
+				s.longest, len(s.gateways), s.crowd)
 			if len(faults) > 0 {
 				t.Errorf("%d faults; alone: go test ./cmd/harrierhoist -run TestSoak_ -soak.first %d -soak.seeds 1\n%s",
 					len(faults), seed,
@@ -91,7 +92,9 @@
 // newSoak starts the servers and gateways of a seed.
 func newSoak(t *testing.T, seed uint64) *soak {
 	t.Helper()
-	s := &soak{T: t, random: rand.New(rand.NewPCG(seed, 0)), ledger: newSoakLedger()}
+	s := &soak{
+		T: t, random: rand.New(rand.NewPCG(seed, 0)), ledger: newSoakLedger(), crowd: drawSoakCrowd(seed),
+	}
 	s.isPolled = s.random.IntN(2) == 0
 	deadlines := []time.Duration{
 		150 * time.Millisecond, 400 * time.Millisecond, time.Second, 3 * time.Second,
@@ -169,7 +172,7 @@
 		for i := range soakClients {
 			c := &soakClient{
 				soak: s, gateway: g, random: rand.New(rand.NewPCG(s.random.Uint64(), uint64(i))),
-				kind: i % 4,
+				kind: soakKind(i) % soakKinds,
 			}
 			clients.Go(c.run)
 		}
@@ -179,6 +182,8 @@
 			}
 		}
 	}
+	stopCrowd := s.crowd.start(s)
+	defer stopCrowd()
 	s.trouble()
 	for _, g := range s.gateways {
 		s.terminate(g)
--- a/cmd/harrierhoist/soakclient_test.go
+++ b/cmd/harrierhoist/soakclient_test.go
@@ -20,14 +20,29 @@
 	*soak
 	gateway *soakGateway
 	random  *rand.Rand
-	kind    int // 0, 1: singly; 2: many at once; 3: leaves now and then
+	kind    soakKind
 }
 
+// soakKind is how a client of the soak behaves. Clients have them in turn.
+type soakKind int
+
+const (
+	sendsSingly soakKind = iota
+	sendsSinglyToo
+	sendsBatches
+	leavesEarly // before the answer, now and then
+	repeatsIDs  // leaves before the answer and sends the request again
+	soakKinds
+)
+
 // run goes on until the gateway has been asked to end, and its connection is closed.
 func (c *soakClient) run() {
 	for {
 		conn, err := net.Dial("tcp", c.gateway.addr)
-		if err == nil {
+		switch {
+		case err == nil && c.kind == repeatsIDs:
+			c.repeatID(conn)
+		case err == nil:
 			reader := continuousClient{client: &client{Conn: conn, in: bufio.NewReader(conn)}}
 			for !reader.isEnded() && c.sendBatch(conn, reader.in) {
 				time.Sleep(time.Duration(c.random.IntN(50)) * time.Millisecond)
@@ -45,7 +60,7 @@
 // more use.
 func (c *soakClient) sendBatch(conn net.Conn, in *bufio.Reader) bool {
 	count, text := 1, ""
-	if c.kind == 2 {
+	if c.kind == sendsBatches {
 		count += c.random.IntN(longestBatch)
 	}
 	batch := make([]*soakRequest, count)
@@ -58,7 +73,7 @@
 	}
 	previous := time.Now()
 	_ = conn.SetReadDeadline(previous.Add(c.longest + 5*time.Second))
-	isLeaving := c.kind == 3 && c.random.IntN(3) == 0
+	isLeaving := c.kind == leavesEarly && c.random.IntN(3) == 0
 	if isLeaving {
 		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
 		_ = conn.Close()
--- a/cmd/harrierhoist/soakledger_test.go
+++ b/cmd/harrierhoist/soakledger_test.go
@@ -32,6 +32,8 @@
 	answeredAt time.Time // zero: not answered
 	answer     string    // its first line
 	leftAt     time.Time // when its client closed the connection; zero: it did not
+	repeatedAt time.Time // when its client sent it again; zero: it did not
+	isRepeat   bool      // it was sent again
 	end        error     // how the connection ended without an answer
 	endedAt    time.Time
 	termAt     time.Time // when its gateway got SIGTERM, and SIGKILL
@@ -127,6 +129,18 @@
 	return ""
 }
 
+// attemptsOf returns the attempts at a request, without those of another sending under its ID.
+func (l *soakLedger) attemptsOf(r *soakRequest) (attempts []soakAttempt) {
+	for _, attempt := range l.attempts[r.id] {
+		isOfRepeat := !r.repeatedAt.IsZero() && attempt.at.After(r.repeatedAt)
+		isOfFirst := r.isRepeat && attempt.at.Before(r.sentAt)
+		if !isOfRepeat && !isOfFirst {
+			attempts = append(attempts, attempt)
+		}
+	}
+	return attempts
+}
+
 // mayHaveRun counts the attempts that no server turned away.
 func (l *soakLedger) mayHaveRun(r *soakRequest) (count int) {
 	for _, attempt := range l.attempts[r.id] {
@@ -152,7 +166,7 @@
 }
 
 func (l *soakLedger) begunAfterClose(r *soakRequest) string {
-	for _, attempt := range l.attempts[r.id] {
+	for _, attempt := range l.attemptsOf(r) {
 		if since := attempt.at.Sub(r.leftAt); !r.leftAt.IsZero() && since > closeSlack+measuringSlack {
 			return fmt.Sprintf("begun %v after its client had closed", since)
 		}
@@ -161,7 +175,7 @@
 }
 
 func (l *soakLedger) deadlineTooLong(r *soakRequest) string {
-	for _, attempt := range l.attempts[r.id] {
+	for _, attempt := range l.attemptsOf(r) {
 		left := r.sentAt.Add(r.deadline).Sub(attempt.at)
 		if attempt.remaining > left+deadlineSlack+measuringSlack {
 			return fmt.Sprintf("deadline: %v told, %v left", attempt.remaining, left)
--- a/internal/gateway/listener/client.go
+++ b/internal/gateway/listener/client.go
@@ -92,7 +92,7 @@
 	}
 	if command.isRequest() && c.conn.rejectIfLate() {
 		c.discard(command)
-		c.reply(rejectionLine(0))
+		c.reply(c.listener.rejectUnread(command))
 		runtime.Gosched() // no pause: what waits behind the request must be answered before SIGKILL
 		return true
 	}
--- a/internal/gateway/listener/parse.go
+++ b/internal/gateway/listener/parse.go
@@ -12,6 +12,7 @@
 
 const (
 	maxCommandWords = 4       // words besides a value: verb, customer, ID and parameters
+	idIndex         = 2       // index of the request's ID in the words
 	parametersIndex = 3       // index of the parameters in the words
 	maxCustomer     = 1 << 33 // exclusive bound of customer numbers
 	customerDigits  = 16      // length of a customer number in hexadecimal digits
@@ -91,7 +92,7 @@
 func (l *Listener) parse(command *pendingCommand, age time.Duration) (dispatch.RequestSpec, *upstream.Command, string) {
 	var spec dispatch.RequestSpec
 	if command.BodyDiscarded {
-		return spec, nil, rejectionLine(0)
+		return spec, nil, l.rejectUnread(command)
 	}
 	verb := command.Words[0]
 	isQuery := verb == verbQuery
@@ -108,7 +109,7 @@
 	if err != nil || len(command.Words[1]) != customerDigits || spec.Customer >= maxCustomer {
 		return spec, nil, replyInvalidCustomer
 	}
-	message := &upstream.Command{Verb: verb, Customer: command.Words[1], ID: command.Words[2], Body: command.Body}
+	message := &upstream.Command{Verb: verb, Customer: command.Words[1], ID: command.Words[idIndex], Body: command.Body}
 	if reply := l.parser.Load().parseParameters(&spec, message, command.Words[parametersIndex]); reply != "" {
 		return spec, nil, reply
 	}
@@ -125,6 +126,15 @@
 	return spec, message, ""
 }
 
+// rejectUnread returns the line that rejects a command which is not looked at otherwise. A rejection would
+// promise that a request with its ID never ran.
+func (l *Listener) rejectUnread(command *pendingCommand) (reply string) {
+	if command.isRequest() && l.requestIDs.isUsed(command.Words[idIndex]) {
+		return replyInvalidID
+	}
+	return rejectionLine(0)
+}
+
 // beginID opens the ID of a request of the class. It returns the line that answers the request if it
 // cannot begin under the ID.
 func (l *Listener) beginID(id string, class int) (reply string) {
--- a/internal/gateway/listener/requestids.go
+++ b/internal/gateway/listener/requestids.go
@@ -40,7 +40,7 @@
 func (r *requestIDs) begin(now time.Time, id string, forbidsRepeats bool) idStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, isOpen := r.open[id]; isOpen || r.completed.contains(id) {
+	if r.isUsedLocked(id) {
 		return idIsUsed
 	}
 	if forbidsRepeats {
@@ -53,6 +53,19 @@
 	return idIsNew
 }
 
+// isUsed reports whether a request with this ID is in flight or must not run again.
+func (r *requestIDs) isUsed(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isUsedLocked(id)
+}
+
+// isUsedLocked is isUsed. The caller must hold mu.
+func (r *requestIDs) isUsedLocked(id string) bool {
+	_, isOpen := r.open[id]
+	return isOpen || r.completed.contains(id)
+}
+
 // end closes the ID of a completed request, and keeps it if the request may have run and must not run
 // again.
 func (r *requestIDs) end(id string, mayHaveRun bool) {
--- a/internal/gateway/listener/state.go
+++ b/internal/gateway/listener/state.go
@@ -55,7 +55,9 @@
 func (s *connectionState) isUnused() bool { return !s.hasAnswered && s.inFlight == 0 }
 
 // holdsNoRequest reports whether commands have arrived, and none of them is a request in flight.
-func (s *connectionState) holdsNoRequest() bool { return s.inFlight > 0 && s.requests == 0 && !s.isClosed() }
+func (s *connectionState) holdsNoRequest() bool {
+	return s.inFlight > 0 && s.requests == 0 && !s.isClosed()
+}
 
 // isFirstCommandInFlight reports whether the first command is in flight, and no other.
 func (s *connectionState) isFirstCommandInFlight() bool { return !s.hasAnswered && s.inFlight == 1 }
