A whole command that waits for memory does not count as stalled

While a request without a value waited for memory, the search for stalled commands took its connection for one that waits for bytes. The abort had no effect on it, but idle connections were not evicted meanwhile.

Measured: TestSlowCrowd_takesNoAnswerFromOthers and the listener's tests pass. Seen by reading; no test of its own.

--- a/internal/gateway/listener/command.go
+++ b/internal/gateway/listener/command.go
@@ -48,10 +48,10 @@
 	c.conn.setReading(true)
 	var err error
 	command.Command, err = c.conn.ReadCommand(maxCommandWords, reserve)
+	c.conn.setReading(false)
 	if err == nil && command.memory == 0 && len(command.Words) == maxCommandWords { // a request without a value
 		command.BodyDiscarded = command.BodyDiscarded || !reserve(0)
 	}
-	c.conn.setReading(false)
 	_ = c.conn.SetReadDeadline(time.Time{}) // also ends an abort of the read
 	if err != nil {
 		c.listener.memory.release(command.memory)
