--- a/internal/gateway/listener/connections.go
+++ b/internal/gateway/listener/connections.go
@@ -2,23 +2,15 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 )
 
 // Limits on idle connections and on slots.
 const (
-	// idleSlotFraction is the fraction of the slots above which idle connections are evicted. The
-	// rest is reserved for bursts.
-	idleSlotFraction = 0.6
 	// slotRetryInterval is the time between attempts to evict a connection while an accepted one
 	// waits for a slot.
 	slotRetryInterval = 20 * time.Millisecond
-	// minIdleInFlood is how long a connection is protected from eviction after its last answer
-	// while there is a flood of new connections. Most clients send their next request within that
-	// time.
-	minIdleInFlood = 2 * time.Second
 	// idleTimeout is the maximum idle time of a connection after an answer.
 	idleTimeout = 10 * time.Second
 	// silentTimeout is the maximum idle time of a connection on which no command has arrived.
@@ -26,13 +18,6 @@
 	// sweepInterval is the time between checks for connections that exceed idleTimeout or
 	// silentTimeout.
 	sweepInterval = 250 * time.Millisecond
-	// floodSlotDivisor defines a flood: new connections, and those that hold commands but no request,
-	// hold more than 1/floodSlotDivisor of the slots.
-	floodSlotDivisor = 2
-	// stallTimeout is how long nothing of a command may arrive while its slot is needed.
-	stallTimeout = 250 * time.Millisecond
-	// stallCheckInterval is the minimum time between two searches for stalled commands.
-	stallCheckInterval = 10 * time.Millisecond
 )
 
 // connectionTable holds the open connections, each of which occupies a slot. One more accepted
@@ -44,7 +29,7 @@
 	mu           sync.Mutex // protects the other fields; taken before connection.mu
 	connections  map[*connection]struct{}
 	stallChecked time.Time // time of the latest search for stalled commands
-	hasAborted   bool      // whether that search found any
+	readsAborted time.Time // time of the latest search that found any
 }
 
 func newConnectionTable(maxConnections int) *connectionTable {
@@ -91,102 +76,6 @@
 	t.open.Done()
 }
 
-// evictAboveIdleLimit evicts an idle connection if more slots are occupied than idleSlotFraction
-// allows.
-func (t *connectionTable) evictAboveIdleLimit() {
-	limit := int(idleSlotFraction * float64(cap(t.slots)))
-	if len(t.slots) > limit && !t.abortStalledReads(time.Now()) {
-		t.evict(limit)
-	}
-}
-
-// abortStalledReads aborts the reading of all stalled commands. It reports whether there were any now or
-// in the search before, whose slots may not be released yet.
-func (t *connectionTable) abortStalledReads(now time.Time) (hasAborted bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if now.Sub(t.stallChecked) < stallCheckInterval {
-		return t.hasAborted
-	}
-	t.stallChecked = now
-	for c := range t.connections {
-		if c.abortStalledRead(now) {
-			hasAborted = true
-		}
-	}
-	t.hasAborted = hasAborted
-	return hasAborted
-}
-
-// evict closes one idle connection if more than limit connections are open, not counting those of a
-// possible flood. It prefers silent connections to answered ones, and then the one that has been idle longest. In a
-// flood, a connection that was answered less than minIdleInFlood ago is kept: the new
-// connections become idle soon, and can be evicted then.
-func (t *connectionTable) evict(limit int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	candidates, floodCount := t.idleConnections()
-	if len(t.connections)-floodCount <= limit {
-		return
-	}
-	slices.SortFunc(candidates, evictionCandidate.compare)
-	isFlooded := floodCount > cap(t.slots)/floodSlotDivisor
-	for _, candidate := range candidates {
-		if isFlooded && candidate.keepsSlotInFlood() {
-			return
-		}
-		if candidate.closeIfIdle() {
-			return
-		}
-	}
-}
-
-// evictionCandidate is an idle connection that may be evicted.
-type evictionCandidate struct {
-	*connection
-	activity  activity // activitySilent or activityIdleAnswered
-	idleSince time.Time
-}
-
-// keepsSlotInFlood reports whether the last answer is too recent for the connection to be evicted
-// in a flood.
-func (e evictionCandidate) keepsSlotInFlood() bool {
-	return e.activity == activityIdleAnswered && time.Since(e.idleSince) < minIdleInFlood
-}
-
-// compare orders candidates for eviction: silent ones come first, and then those that have been
-// idle longer.
-func (e evictionCandidate) compare(other evictionCandidate) int {
-	switch e.activity {
-	case other.activity:
-		return e.idleSince.Compare(other.idleSince)
-	case activitySilent:
-		return -1
-	default:
-		return 1
-	}
-}
-
-// idleConnections returns the idle connections, and the number of those that count as a flood if they are
-// many: new ones, and those that hold commands but no request. The caller must hold t.mu.
-func (t *connectionTable) idleConnections() (candidates []evictionCandidate, floodCount int) {
-	now := time.Now()
-	for c := range t.connections {
-		activity, since := c.currentActivity(now)
-		switch activity {
-		case activitySilent, activityIdleAnswered:
-			candidates = append(candidates, evictionCandidate{c, activity, since})
-		case activityNew:
-			floodCount++
-		case activityBusy:
-			if c.holdsNoRequest() {
-				floodCount++
-			}
-		}
-	}
-	return candidates, floodCount
-}
-
 // Sweep closes connections that exceed idleTimeout or silentTimeout. It blocks until ctx is done.
 func (l *Listener) Sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/gateway/listener/idhistory.go
+++ b/internal/gateway/listener/idhistory.go
@@ -47,12 +47,12 @@
 	return isNewer || isOlder
 }
 
-// add adds an ID, for which hasSpace must have returned true.
+// add adds an ID, for which makeSpace must have returned true.
 func (h *idHistory) add(id string) { h.newer[xxhash.Sum64String(id)] = struct{}{} }
 
-// hasSpace reports whether the history can take count IDs more. It forgets the older generation if that
+// makeSpace reports whether the history can take count IDs more. It forgets the older generation if that
 // is due or gives the space.
-func (h *idHistory) hasSpace(now time.Time, count int) bool {
+func (h *idHistory) makeSpace(now time.Time, count int) bool {
 	if h.newerSince.IsZero() {
 		h.newerSince = now
 	}
--- a/internal/gateway/listener/requestids.go
+++ b/internal/gateway/listener/requestids.go
@@ -44,7 +44,7 @@
 		return idIsUsed
 	}
 	if forbidsRepeats {
-		if !r.completed.hasSpace(now, r.reserved+1) {
+		if !r.completed.makeSpace(now, r.reserved+1) {
 			return idHistoryIsFull
 		}
 		r.reserved++
--- a/internal/gateway/resp/conn.go
+++ b/internal/gateway/resp/conn.go
@@ -49,8 +49,7 @@
 			return err
 		}
 		c.reader = readerPool.get()
-		c.reader.conn = c.Conn
-		c.reader.progress = &c.lastRead
+		c.reader.conn = c
 		c.reader.peeked = first
 		c.reader.R.Reset(c.reader)
 	}
@@ -99,7 +98,6 @@
 		return
 	}
 	c.reader.conn = nil
-	c.reader.progress = nil
 	c.reader.peeked = nil
 	c.reader.noReadAhead = false
 	readerPool.put(c.reader)
--- a/internal/gateway/resp/resp.go
+++ b/internal/gateway/resp/resp.go
@@ -6,10 +6,8 @@
 
 import (
 	"bufio"
-	"net"
 	"net/textproto"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -62,11 +60,10 @@
 // maxMessageSize bytes per message. A line without end therefore cannot use unlimited memory.
 type messageReader struct {
 	*textproto.Reader
-	conn        net.Conn
-	peeked      []byte        // byte that waitReadable consumed; empty if there is none
-	progress    *atomic.Int64 // Conn.lastRead of the connection
-	remaining   int           // number of bytes that may still be read from conn for this message
-	noReadAhead bool          // whether to read single bytes, so that no byte after the message is consumed
+	conn        *Conn
+	peeked      []byte // byte that waitReadable consumed; empty if there is none
+	remaining   int    // number of bytes that may still be read from conn for this message
+	noReadAhead bool   // whether to read single bytes, so that no byte after the message is consumed
 }
 
 func newMessageReader() *messageReader {
@@ -88,9 +85,9 @@
 	if r.noReadAhead {
 		p = p[:1]
 	}
-	n, err := r.conn.Read(p[:min(len(p), r.remaining)])
+	n, err := r.conn.Conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
-	r.progress.Store(time.Now().UnixNano())
+	r.conn.lastRead.Store(time.Now().UnixNano())
 	return n, err
 }
 
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -72,13 +72,23 @@
 // refill updates the bucket, the demand and the share of the ceiling to the time now.
 func (c *customerState) refill(now time.Duration) {
 	passed := (now - c.refilledAt).Seconds()
+	c.ceilingAvailable = c.ceilingAt(now)
 	c.refilledAt = now
 	c.available = min(c.available+float64(c.plan.Rate*passed), c.plan.Burst)
 	c.demandInFlight *= math.Exp(-passed / demandTimeConstant.Seconds())
+}
+
+// ceilingAt returns the units available in this gateway's share of the ceiling at a time since the latest
+// refill.
+func (c *customerState) ceilingAt(now time.Duration) float64 {
+	passed := (now - c.refilledAt).Seconds()
 	grown := c.ceilingAvailable + float64(c.plan.CeilingRate/c.gateways*passed)
-	c.ceilingAvailable = min(grown, c.plan.CeilingBurst/c.gateways)
+	return min(grown, c.maxCeiling())
 }
 
+// maxCeiling returns the units that this gateway's share of the ceiling can hold.
+func (c *customerState) maxCeiling() float64 { return c.plan.CeilingBurst / c.gateways }
+
 // takeFromCeiling takes units from this gateway's share of the plan's ceiling, or returns how many
 // are missing. The shares of all gateways add up to the ceiling, so the ceiling holds without a
 // counter and after a restart.
--- a/policy/customer_eviction.go
+++ b/policy/customer_eviction.go
@@ -45,15 +45,10 @@
 	return true
 }
 
-// canEvict reports whether a customer that is not idle for long can be evicted: it has no request in
-// flight, and its share of the ceiling is full, as that of a customer that returns.
+// canEvict reports whether a customer can be evicted before it is idle for maxCounterTTL: it has no
+// request in flight, and its share of the ceiling is full, as that of a customer that returns.
 func (a *admission) canEvict(customer *customerState) bool {
-	if customer.inFlight > 0 {
-		return false
-	}
-	passed := (a.env.now - customer.refilledAt).Seconds()
-	grown := customer.ceilingAvailable + float64(customer.plan.CeilingRate/customer.gateways*passed)
-	return grown >= customer.plan.CeilingBurst/customer.gateways
+	return customer.inFlight == 0 && customer.ceilingAt(a.env.now) >= customer.maxCeiling()
 }
 
 // removeCustomer removes the customer at an index of customerList.
--- a/policy/request_state.go
+++ b/policy/request_state.go
@@ -43,8 +43,9 @@
 	server     *server
 	zone, rack int // of the server when the attempt started; a list may have moved it since
 	startedAt  time.Duration
-	process    time.Duration // Endpoint.StartedAt of the server when the attempt started
 	state      attemptState
+	// serverStartedAt is Endpoint.StartedAt of the server when the attempt started.
+	serverStartedAt time.Duration
 }
 
 // presence returns the presence of the request's client.
@@ -56,7 +57,7 @@
 }
 
 // isAtEarlierProcess reports whether the server has restarted since the attempt started.
-func (a attempt) isAtEarlierProcess() bool { return a.process != a.server.StartedAt }
+func (a attempt) isAtEarlierProcess() bool { return a.serverStartedAt != a.server.StartedAt }
 
 func (r *requestState) lastAttemptAt() time.Duration { return r.attempts[len(r.attempts)-1].startedAt }
 
--- a/policy/server.go
+++ b/policy/server.go
@@ -11,7 +11,7 @@
 func (s *server) startAttempt(request *requestState) {
 	s.inFlight = append(s.inFlight, request)
 	request.attempts = append(request.attempts, attempt{
-		server: s, zone: s.Zone, rack: s.Rack, startedAt: s.env.now, process: s.StartedAt,
+		server: s, zone: s.Zone, rack: s.Rack, startedAt: s.env.now, serverStartedAt: s.StartedAt,
 	})
 	s.env.host.Attempt(request.ID, s.Server, request.Deadline)
 }
