Tests: one crowd for floods, slow clients and idle clients

Each of the three connected anew in a loop of its own, and the soak drained the counter's calls in another copy of drainCalls. No check is dropped.

--- a/cmd/harrierhoist/descriptors_test.go
+++ b/cmd/harrierhoist/descriptors_test.go
@@ -8,7 +8,6 @@
 	"net/http/httptest"
 	"os/exec"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,47 +60,17 @@
 	return startCommand(t, limited, "RELAY_CONFIG="+path)
 }
 
-// idleClients are connections that send nothing. One that is closed is replaced.
-type idleClients struct {
-	closed  atomic.Int64 // by the other side
-	stopped chan struct{}
-	stop    func()
-}
-
-func connectIdleClients(t *testing.T, addr string, n int) *idleClients {
+// connectIdleClients starts clients that send nothing, and counts the connections that the gateway closes.
+func connectIdleClients(t *testing.T, addr string, clients int) (idle *crowd, closed *atomic.Int64) {
 	t.Helper()
-	c := &idleClients{stopped: make(chan struct{})}
-	c.stop = sync.OnceFunc(func() { close(c.stopped) })
-	for range n {
-		go c.reconnect(addr)
-	}
-	t.Cleanup(c.stop)
-	return c
-}
-
-func (c *idleClients) reconnect(addr string) {
-	for {
-		if conn, err := net.Dial("tcp", addr); err == nil {
-			c.holdOpen(conn)
+	closed = &atomic.Int64{}
+	idle = startCrowd(t, addr, clients, func(c *crowd, conn net.Conn) {
+		discardAnswers(conn)
+		if !c.ended.Load() {
+			closed.Add(1)
 		}
-		select {
-		case <-c.stopped:
-			return
-		default:
-		}
-	}
-}
-
-// holdOpen leaves a connection open until it is closed by the other side.
-func (c *idleClients) holdOpen(conn net.Conn) {
-	ended := make(chan struct{})
-	go func() { defer close(ended); _, _ = conn.Read(make([]byte, 1)) }()
-	select {
-	case <-ended:
-		c.closed.Add(1)
-	case <-c.stopped:
-	}
-	_ = conn.Close()
+	})
+	return idle, closed
 }
 
 // The file said a thousand sockets and the system gave 64: idle clients took them all, and no
@@ -114,8 +83,8 @@
 		configuration(gateway.addr, discovery.addr, gateway.counter.Addr, fakes.FormatList(1, true, gateway.host())))
 	waitForLog(t, gateway.log, `"gateway: ready"`)
 
-	idle := connectIdleClients(t, gateway.addr, 120)
-	fakes.Eventually(t, "a flood", func() bool { return idle.closed.Load() >= 40 }) // all connections taken, twice over
+	idle, closed := connectIdleClients(t, gateway.addr, 120)
+	fakes.Eventually(t, "a flood", func() bool { return closed.Load() >= 40 }) // all connections taken, twice over
 	gateway.connect().query(longQueryList, "hello")
 	gateway.counter.NextCall(t) // neither was called before
 	before := discovery.calls.Load()
--- a/cmd/harrierhoist/flood_test.go
+++ b/cmd/harrierhoist/flood_test.go
@@ -4,8 +4,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,79 +25,33 @@
 	readsNothing bool // the clients leave their answers unread
 }
 
-// floodClients send commands at full speed until they are stopped, and discard the answers. Each
-// connects anew when the gateway closes its connection.
-type floodClients struct {
-	floodCase
-	addr    string
-	ended   atomic.Bool
-	running sync.WaitGroup
-
-	mu    sync.Mutex
-	conns map[net.Conn]struct{} // open connections; closed by stop
-}
-
-func startFlood(t *testing.T, addr string, flood floodCase) *floodClients {
+func (f floodCase) start(t *testing.T, addr string) *crowd {
 	t.Helper()
-	clients := &floodClients{floodCase: flood, addr: addr, conns: map[net.Conn]struct{}{}}
-	for range max(flood.senders/raceSlowdown, 1) {
-		clients.running.Go(clients.run)
-	}
-	t.Cleanup(clients.stop)
-	return clients
-}
-
-// stop closes the connections.
-func (f *floodClients) stop() {
-	f.ended.Store(true)
-	f.mu.Lock()
-	for conn := range f.conns {
-		_ = conn.Close()
-	}
-	f.mu.Unlock()
-	f.running.Wait()
-}
-
-func (f *floodClients) run() {
-	for !f.ended.Load() {
-		conn, err := net.Dial("tcp", f.addr)
-		if err != nil {
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		_ = conn.(*net.TCPConn).SetWriteBuffer(floodBuffer)
-		f.mu.Lock()
-		f.conns[conn] = struct{}{}
-		f.mu.Unlock()
-		f.sendUntilClosed(conn)
-		f.mu.Lock()
-		delete(f.conns, conn)
-		f.mu.Unlock()
-	}
+	return startCrowd(t, addr, max(f.senders/raceSlowdown, 1), f.send)
 }
 
-// sendUntilClosed sends commands and discards the answers until either side closes the connection.
-func (f *floodClients) sendUntilClosed(conn net.Conn) {
+// send sends commands at full speed and discards the answers until either side closes the connection.
+func (f floodCase) send(c *crowd, conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetWriteBuffer(floodBuffer)
 	if !f.readsNothing && !f.isShort {
 		go func() {
-			_, _ = io.Copy(io.Discard, conn)
+			discardAnswers(conn)
 			_ = conn.Close()
 		}()
 	}
-	for !f.ended.Load() {
+	for !c.ended.Load() {
 		var batch strings.Builder
 		for range f.batch() {
 			batch.WriteString(f.command())
 		}
 		if _, err := io.WriteString(conn, batch.String()); err != nil || f.isShort {
-			break
+			return
 		}
 	}
-	_ = conn.Close()
 }
 
 // batch returns how many commands a client writes at once.
-func (f *floodClients) batch() int {
+func (f floodCase) batch() int {
 	if f.isShort {
 		return 1
 	}
@@ -161,7 +113,7 @@
 			gateway := startSmallGateway(t)
 			clients := startUsualClients(t, gateway.addr)
 			time.Sleep(300 * time.Millisecond)
-			floods := startFlood(t, gateway.addr, flood)
+			floods := flood.start(t, gateway.addr)
 			time.Sleep(floodTime)
 			clients.stop()
 			floods.stop()
@@ -192,7 +144,7 @@
 func (f floodCase) playDrain(t *testing.T) {
 	gateway := startSmallGateway(t)
 	clients := startUsualClients(t, gateway.addr)
-	floods := startFlood(t, gateway.addr, f)
+	floods := f.start(t, gateway.addr)
 	time.Sleep(time.Second)
 	gateway.terminate()
 	termAt := time.Now()
--- a/cmd/harrierhoist/slowcrowd_test.go
+++ b/cmd/harrierhoist/slowcrowd_test.go
@@ -1,14 +1,10 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,60 +21,20 @@
 	pace    time.Duration   // between two pieces
 }
 
-// slowClients write commands in pieces. One that is closed connects anew.
-type slowClients struct {
-	slowCase
-	addr    string
-	ended   atomic.Bool
-	running sync.WaitGroup
-}
-
-func startSlowClients(t *testing.T, addr string, crowd slowCase) *slowClients {
+func (s slowCase) start(t *testing.T, addr string) *crowd {
 	t.Helper()
-	clients := &slowClients{slowCase: crowd, addr: addr}
-	for range max(crowd.clients/raceSlowdown, 1) {
-		clients.running.Go(clients.run)
-	}
-	t.Cleanup(clients.stop)
-	return clients
-}
-
-func (s *slowClients) stop() {
-	s.ended.Store(true)
-	s.running.Wait()
-}
-
-func (s *slowClients) run() {
-	for !s.ended.Load() {
-		conn, err := net.DialTimeout("tcp", s.addr, time.Second)
-		if err != nil {
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		s.write(conn)
-		s.awaitClose(conn)
-		_ = conn.Close()
-	}
+	return startCrowd(t, addr, max(s.clients/raceSlowdown, 1), s.write)
 }
 
-func (s *slowClients) write(conn net.Conn) {
+// write writes the pieces, and waits until either side closes the connection.
+func (s slowCase) write(_ *crowd, conn net.Conn) {
 	for _, piece := range s.pieces() {
-		if _, err := io.WriteString(conn, piece); err != nil || s.ended.Load() {
+		if _, err := io.WriteString(conn, piece); err != nil {
 			return
 		}
 		time.Sleep(s.pace)
 	}
-}
-
-// awaitClose reads until the gateway closes the connection.
-func (s *slowClients) awaitClose(conn net.Conn) {
-	buffer := make([]byte, 1<<10)
-	for !s.ended.Load() {
-		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-		if _, err := conn.Read(buffer); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		}
-	}
+	discardAnswers(conn)
 }
 
 // inPieces splits a text into a number of pieces.
@@ -113,7 +69,7 @@
 // longLine is a head without an end.
 func longLine() string { return "*" + strings.Repeat("1", 66000) }
 
-// longWord announces a word that is longer than any may be.
+// longWords is a command of more words than any request has, each as long as allowed.
 func longWords() string {
 	word := strings.Repeat("w", 1000)
 	return fakes.FormatCommand(word, word, word, word, word)
@@ -141,15 +97,15 @@
 
 // Guards against slow clients that take the connections or the memory of others.
 func TestSlowCrowd_takesNoAnswerFromOthers(t *testing.T) {
-	for name, crowd := range slowCases() {
+	for name, slow := range slowCases() {
 		t.Run(name, func(t *testing.T) {
 			gateway := startSmallGateway(t)
 			clients := startUsualClients(t, gateway.addr)
 			time.Sleep(300 * time.Millisecond)
-			slow := startSlowClients(t, gateway.addr, crowd)
+			clientsInPieces := slow.start(t, gateway.addr)
 			time.Sleep(slowCrowdTime)
 			clients.stop()
-			slow.stop()
+			clientsInPieces.stop()
 			gateway.wantNoneLost(clients)
 		})
 	}
--- a/cmd/harrierhoist/soak_test.go
+++ b/cmd/harrierhoist/soak_test.go
@@ -109,15 +109,7 @@
 		hosts = append(hosts, server.host("in_service"))
 	}
 	discovery, counter := fakes.NewDiscovery(t, hosts...), fakes.NewCounter(t)
-	go func() { // more calls come than the fake counter holds for tests that read them
-		for {
-			select {
-			case <-counter.Calls:
-			case <-t.Context().Done():
-				return
-			}
-		}
-	}()
+	drainCalls(t, counter)
 	sockets := []int{96, 256, 1024}[s.random.IntN(3)]
 	for range 1 + s.random.IntN(3) {
 		g := &soakGateway{gatewayUnderTest: &gatewayUnderTest{
--- a/cmd/harrierhoist/soakcrowd_test.go
+++ b/cmd/harrierhoist/soakcrowd_test.go
@@ -47,11 +47,11 @@
 	for _, g := range s.gateways {
 		if flood, ok := floodCases()[c.flood]; ok {
 			flood.senders = soakFloodSenders
-			stops = append(stops, startFlood(s.T, g.addr, flood).stop)
+			stops = append(stops, flood.start(s.T, g.addr).stop)
 		}
 		if slow, ok := slowCases()[c.slow]; ok {
 			slow.clients = soakSlowClients
-			stops = append(stops, startSlowClients(s.T, g.addr, slow).stop)
+			stops = append(stops, slow.start(s.T, g.addr).stop)
 		}
 	}
 	return func() {
