--- a/internal/gateway/resp/resp.go
+++ b/internal/gateway/resp/resp.go
@@ -85,7 +85,7 @@
 	if r.noReadAhead {
 		p = p[:1]
 	}
-	n, err := r.conn.Conn.Read(p[:min(len(p), r.remaining)])
+	n, err := r.conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
 	r.conn.lastRead.Store(time.Now().UnixNano())
 	return n, err
