Accepts: a connection that is over after one command ends before the next one

Cause: with one processor the accepting goroutine runs on, as its bytes are always there, and the readers of connections that are over wait; the table fills with them, and each accept searches all of them for an eviction (79% of the processor in a profile).

Change: after an accept the other goroutines run first (runtime.Gosched), so none pile up. All accepts then cost the same, 0.1 ms.

--- a/internal/gateway/listener/listener.go
+++ b/internal/gateway/listener/listener.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,7 +115,7 @@
 func (l *Listener) serveConn(conn *resp.Conn) bool {
 	if conn.IsAtEnd() {
 		_ = conn.Close()
-		l.pauseAfterAccept(endedAcceptCost)
+		l.pauseAfterAccept()
 		return true
 	}
 	if !l.connections.acquireSlot(l.drain.finished) {
@@ -125,7 +126,8 @@
 	c := newClient(l, conn)
 	l.connections.add(c.conn)
 	go c.serve()
-	l.pauseAfterAccept(acceptCost)
+	runtime.Gosched() // connections that are over after one command must not pile up
+	l.pauseAfterAccept()
 	return true
 }
 
--- a/internal/gateway/listener/pacer.go
+++ b/internal/gateway/listener/pacer.go
@@ -13,8 +13,7 @@
 	drainReplyCost     = 200 * time.Microsecond // the same during a drain
 	rejectionCost      = 250 * time.Microsecond // request that is rejected without an attempt
 	connectionLossCost = 2 * time.Millisecond   // connection that ends with a malformed command: the next one follows
-	acceptCost         = 500 * time.Microsecond // accepted connection
-	endedAcceptCost    = 100 * time.Microsecond // accepted connection that the client has closed without a command
+	acceptCost         = 100 * time.Microsecond // accepted connection
 )
 
 // acceptBurst is how far accepts may be ahead of their rate. A crowd of clients that connect at the same
@@ -54,9 +53,9 @@
 
 // pauseAfterAccept delays the next accept if connections arrive at a high rate, unless a drain has to
 // empty the backlog.
-func (l *Listener) pauseAfterAccept(cost time.Duration) {
+func (l *Listener) pauseAfterAccept() {
 	if !l.drain.active.Load() {
-		time.Sleep(l.acceptPacer.reserve(time.Now(), cost) - acceptBurst)
+		time.Sleep(l.acceptPacer.reserve(time.Now(), acceptCost) - acceptBurst)
 	}
 }
 
