--- a/internal/testing/fakes/server.go
+++ b/internal/testing/fakes/server.go
@@ -68,6 +68,7 @@
 type Server struct {
 	Addr     string
 	answer   func(words []string) string
+	listener net.Listener
 	conns    chan net.Conn // as many as fit: the tests that use them have few
 	commands chan []string // the same
 }
@@ -78,15 +79,32 @@
 // NewServer starts a server that ends with the test.
 func NewServer(tb testing.TB, answer func(words []string) string) *Server {
 	tb.Helper()
-	listener := Listen(tb)
+	return newServer(tb, Listen(tb), answer)
+}
+
+func newServer(tb testing.TB, listener net.Listener, answer func(words []string) string) *Server {
+	tb.Helper()
 	s := &Server{
-		Addr: listener.Addr().String(), answer: answer, conns: make(chan net.Conn, 1000),
+		Addr: listener.Addr().String(), answer: answer, listener: listener, conns: make(chan net.Conn, 1000),
 		commands: make(chan []string, 1000),
 	}
 	serveConns(tb, listener, s.serve)
 	return s
 }
 
+// Replace starts another server at the address of this one, which keeps the connections that it has.
+func (s *Server) Replace(tb testing.TB, answer func(words []string) string) *Server {
+	tb.Helper()
+	if err := s.listener.Close(); err != nil {
+		tb.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return newServer(tb, listener, answer)
+}
+
 func (s *Server) serve(conn net.Conn) {
 	select {
 	case s.conns <- conn:
