Eviction: clients that have left count as room; an answer in writing is no flood

Cause, by a trace of the table at the eviction: connections whose clients had left, and whose readers still paused after a PING, are idle but cannot be closed as idle, for their end is unread. The search went on behind them to the client that was answered 0 ms ago. Each such connection also cost a system call at each accept.

Change: a candidate whose client has left counts as room, as it releases its slot within moments: for a needed slot that is enough, and above the limit of idle connections the excess is less by one.

Calls of evict(0) in tests are evictForSlot(): the same case, by its name.

--- a/internal/gateway/listener/acceptbackoff.go
+++ b/internal/gateway/listener/acceptbackoff.go
@@ -54,7 +54,7 @@
 		l.log.Warn("listener: accept failed", zap.Error(err))
 	}
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		l.connections.evict(0)
+		l.connections.evictForSlot()
 	}
 	time.Sleep(delay)
 }
--- a/internal/gateway/listener/closeidle_test.go
+++ b/internal/gateway/listener/closeidle_test.go
@@ -11,7 +11,7 @@
 
 // idleClosers holds functions that make the listener close an idle connection, by name.
 var idleClosers = map[string]func(f *drainFixture){
-	"eviction": func(f *drainFixture) { f.connections.evict(0) },
+	"eviction": func(f *drainFixture) { f.connections.evictForSlot() },
 	"drain":    func(f *drainFixture) { f.connections.closeIdle(shouldCloseInDrain) },
 	"sweep": func(f *drainFixture) {
 		ctx, cancel := context.WithCancel(f.Context())
@@ -109,6 +109,6 @@
 	c.send(numberedQuery(1))
 	fakes.Eventually(t, "the answer written", conn.isFullyAnswered)
 	conn.makeIdle()
-	f.connections.evict(0)
+	f.connections.evictForSlot()
 	f.awaitIdle()
 }
--- a/internal/gateway/listener/connection.go
+++ b/internal/gateway/listener/connection.go
@@ -183,10 +183,10 @@
 func (c *connection) isPipelined() bool { return c.commandsInFlight() > 1 }
 
 // holdsNoRequest reports whether commands have arrived, and none of them is a request in flight.
-func (c *connection) holdsNoRequest() bool {
+func (c *connection) holdsNoRequest(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.holdsNoRequest()
+	return c.state.holdsNoRequest(now)
 }
 
 // currentActivity returns the activity of the connection, and the time since which it is idle if
--- a/internal/gateway/listener/connections.go
+++ b/internal/gateway/listener/connections.go
@@ -47,7 +47,7 @@
 	}
 	for {
 		if !t.abortStalledReads(time.Now()) {
-			t.evict(0)
+			t.evictForSlot()
 		}
 		select {
 		case t.slots <- struct{}{}:
--- a/internal/gateway/listener/connections_test.go
+++ b/internal/gateway/listener/connections_test.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -36,18 +37,38 @@
 
 func TestEvict_idleAnsweredClients(t *testing.T) {
 	table := fullConnectionTable(t, 2)
-	if table.evict(0); table.closedCount() != 1 {
+	if table.evictForSlot(); table.closedCount() != 1 {
 		t.Errorf("%d connections were closed, want 1", table.closedCount())
 	}
 }
 
 func TestEvict_floodOfSilentClientsEvictsNoAnsweredClient(t *testing.T) {
 	table := fullConnectionTable(t, 7)
-	if table.evict(0); table.closedCount() != 0 {
+	if table.evictForSlot(); table.closedCount() != 0 {
 		t.Error("an answered client was evicted in a flood")
 	}
 }
 
+// Guards against the eviction of a client that was just answered, for one that has left before it.
+func TestEvict_clientThatHasLeftMakesRoom(t *testing.T) {
+	table := newConnectionTable(2)
+	var clients []net.Conn
+	for i := range cap(table.slots) {
+		serverSide, client := fakes.ConnPair(t)
+		c := newConnection(resp.NewConn(serverSide), newDrainState())
+		c.state.hasAnswered = true
+		c.state.lastUsed = c.state.lastUsed.Add(time.Duration(i))
+		table.connections[c] = struct{}{}
+		clients = append(clients, client)
+	}
+	if err := clients[0].Close(); err != nil {
+		t.Fatal(err)
+	}
+	if table.evictForSlot(); table.closedCount() != 0 {
+		t.Error("the client that stays was evicted")
+	}
+}
+
 func TestActivity(t *testing.T) {
 	now := time.Now()
 	accepted := now.Add(-newClientGrace)
@@ -73,6 +94,26 @@
 	}
 }
 
+// Guards against clients that count as a flood while their answers are being written.
+func TestHoldsNoRequest(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		state connectionState
+		want  bool
+	}{
+		"idle":                   {connectionState{hasAnswered: true}, false},
+		"command":                {connectionState{inFlight: 1}, true},
+		"request":                {connectionState{inFlight: 2, requests: 1}, false},
+		"answer of a request":    {connectionState{inFlight: 1, requestEnded: now}, false},
+		"command after requests": {connectionState{inFlight: 1, requestEnded: now.Add(-newClientGrace)}, true},
+		"command, ended":         {connectionState{inFlight: 1, phase: phaseEnded}, false},
+	} {
+		if got := c.state.holdsNoRequest(now); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 func halfClosed(at time.Time) (state connectionState) {
 	state.markHalfClosed(at)
 	return state
--- a/internal/gateway/listener/eviction.go
+++ b/internal/gateway/listener/eviction.go
@@ -28,7 +28,7 @@
 func (t *connectionTable) evictAboveIdleLimit() {
 	limit := int(idleSlotFraction * float64(cap(t.slots)))
 	if len(t.slots) > limit && !t.abortStalledReads(time.Now()) {
-		t.evict(limit)
+		t.evictAbove(limit)
 	}
 }
 
@@ -48,25 +48,38 @@
 	return now.Sub(t.readsAborted) < stallCheckInterval
 }
 
-// evict closes one idle connection if more than limit connections are open, not counting those of a
-// possible flood. It prefers silent connections to answered ones, and then the one that has been idle
-// longest. In a flood, a connection that was answered less than minIdleInFlood ago is kept: the new
-// connections become idle soon, and can be evicted then.
-func (t *connectionTable) evict(limit int) {
+// evictForSlot closes one idle connection, unless there is none that may be closed.
+func (t *connectionTable) evictForSlot() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates, floodCount := t.idleConnections()
-	if len(t.connections)-floodCount <= limit {
-		return
+	t.evictOne(candidates, floodCount, 1)
+}
+
+// evictAbove closes one idle connection if more than limit connections are open, not counting those of a
+// possible flood.
+func (t *connectionTable) evictAbove(limit int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates, floodCount := t.idleConnections()
+	if excess := len(t.connections) - floodCount - limit; excess > 0 {
+		t.evictOne(candidates, floodCount, excess)
 	}
+}
+
+// evictOne closes one of the candidates, unless as many as the excess belong to clients that have left:
+// these release their slots within moments. It prefers silent connections to answered ones, and then
+// the one that has been idle longest. In a flood, a connection that was answered less than minIdleInFlood
+// ago is kept: the new connections become idle soon, and can be evicted then. The caller must hold t.mu.
+func (t *connectionTable) evictOne(candidates []evictionCandidate, floodCount, excess int) {
 	slices.SortFunc(candidates, evictionCandidate.compare)
 	isFlooded := floodCount > cap(t.slots)/floodSlotDivisor
 	for _, candidate := range candidates {
-		if isFlooded && candidate.keepsSlotInFlood() {
+		if excess <= 0 || isFlooded && candidate.keepsSlotInFlood() || candidate.closeIfIdle() {
 			return
 		}
-		if candidate.closeIfIdle() {
-			return
+		if candidate.IsPeerClosed() {
+			excess--
 		}
 	}
 }
@@ -109,7 +122,7 @@
 		case activityNew:
 			floodCount++
 		case activityBusy:
-			if c.holdsNoRequest() {
+			if c.holdsNoRequest(now) {
 				floodCount++
 			}
 		}
--- a/internal/gateway/listener/state.go
+++ b/internal/gateway/listener/state.go
@@ -54,9 +54,11 @@
 // isUnused reports whether no command has arrived on the connection.
 func (s *connectionState) isUnused() bool { return !s.hasAnswered && s.inFlight == 0 }
 
-// holdsNoRequest reports whether commands have arrived, and none of them is a request in flight.
-func (s *connectionState) holdsNoRequest() bool {
-	return s.inFlight > 0 && s.requests == 0 && !s.isClosed()
+// holdsNoRequest reports whether commands have arrived, and none of them is a request in flight. The answer of a
+// request that was just completed may not be written yet.
+func (s *connectionState) holdsNoRequest(now time.Time) bool {
+	isAnswering := now.Sub(s.requestEnded) < newClientGrace
+	return s.inFlight > 0 && s.requests == 0 && !s.isClosed() && !isAnswering
 }
 
 // isFirstCommandInFlight reports whether the first command is in flight, and no other.
