--- a/internal/gateway/listener/eviction.go
+++ b/internal/gateway/listener/eviction.go
@@ -48,7 +48,7 @@
 	return now.Sub(t.readsAborted) < stallCheckInterval
 }
 
-// evictForSlot closes one idle connection, unless there is none that may be closed.
+// evictForSlot closes one idle connection, unless one is about to release its slot.
 func (t *connectionTable) evictForSlot() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -75,12 +75,18 @@
 	slices.SortFunc(candidates, evictionCandidate.compare)
 	isFlooded := floodCount > cap(t.slots)/floodSlotDivisor
 	for _, candidate := range candidates {
-		if excess <= 0 || isFlooded && candidate.keepsSlotInFlood() || candidate.closeIfIdle() {
+		if isFlooded && candidate.keepsSlotInFlood() {
+			return
+		}
+		if candidate.closeIfIdle() {
 			return
 		}
 		if candidate.IsPeerClosed() {
 			excess--
 		}
+		if excess == 0 {
+			return
+		}
 	}
 }
 
