--- a/cmd/harrierhoist/attempt_test.go
+++ b/cmd/harrierhoist/attempt_test.go
@@ -112,11 +112,7 @@
 	started := make(chan *gatewayUnderTest, 1)
 	first := fakes.NewServer(t, func([]string) string {
 		gateway := <-started
-		gateway.discovery.Publish(false, fakes.FormatHost("s-2", saturated.Addr, "in_service"))
-		query := ""
-		for !strings.HasPrefix(query, "since=2") { // the gateway knows of the other then
-			query = <-gateway.discovery.Queries
-		}
+		gateway.publishAndAwait(fakes.FormatHost("s-2", saturated.Addr, "in_service"))
 		return fakes.CloseConn
 	})
 	gateway := startWithLongTimeouts(t, fakes.FormatHost("s-1", first.Addr, "in_service"))
--- a/cmd/harrierhoist/gateway_test.go
+++ b/cmd/harrierhoist/gateway_test.go
@@ -79,6 +79,14 @@
 	return configuration(g.addr, g.discovery.Addr, g.counter.Addr, "null")
 }
 
+// publishAndAwait has discovery publish its second version, and waits until the gateway knows it.
+func (g *gatewayUnderTest) publishAndAwait(host string) {
+	g.discovery.Publish(false, host)
+	for query := ""; !strings.HasPrefix(query, "since=2"); {
+		query = <-g.discovery.Queries
+	}
+}
+
 // waitUntilReady waits until a gateway answers PING with PONG.
 func waitUntilReady(t *testing.T, addr string) {
 	t.Helper()
--- a/cmd/harrierhoist/replaced_test.go
+++ b/cmd/harrierhoist/replaced_test.go
@@ -16,10 +16,7 @@
 // publishReplaced has discovery tell that the gateway's server is another process, and waits until the
 // gateway knows.
 func (g *gatewayUnderTest) publishReplaced() {
-	g.discovery.Publish(false, restartedHost("s-1", g.server.Addr))
-	for query := ""; !strings.HasPrefix(query, "since=2"); {
-		query = <-g.discovery.Queries
-	}
+	g.publishAndAwait(restartedHost("s-1", g.server.Addr))
 }
 
 // Guards against requests that go to an earlier process, whose connections are still open.
